--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,121 @@
+//! The listener for operators.
+
+use std::sync::Arc;
+
+use ntex::server::Server;
+use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use serde::{Deserialize, Serialize};
+
+use crate::board::Board;
+use crate::control::{ControlEvent, ControlHandle, ExplainAsk, RouteExplanation};
+use crate::error::{RouterError, RouterResult, StepName};
+use crate::ids::{ChatId, ModelId};
+use crate::register::token_digest;
+use crate::settings::{AdminScope, AdminToken, RouterSettings};
+
+/// What handlers share.
+#[derive(Clone)]
+struct AdminState {
+    board: Arc<Board>,
+    control: ControlHandle,
+    tokens: Arc<Vec<AdminToken>>,
+}
+
+/// Where a chat would go.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct ExplainBody {
+    /// Engines in order of preference.
+    pub routes: Vec<RouteExplanation>,
+}
+
+/// Why an operator's request failed.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct AdminFault {
+    /// What was wrong.
+    pub error: String,
+}
+
+#[derive(Deserialize)]
+struct ExplainQuery {
+    model: ModelId,
+    chat: ChatId,
+}
+
+/// Opens the listener for operators.
+pub fn serve_operators(
+    settings: &RouterSettings,
+    board: Arc<Board>,
+    control: ControlHandle,
+) -> RouterResult<Server> {
+    let state = AdminState {
+        board,
+        control,
+        tokens: Arc::new(settings.admin_tokens.clone()),
+    };
+    let server = HttpServer::new(async move || {
+        App::new()
+            .state(state.clone())
+            .route("/v1/status", web::get().to(status))
+            .route("/v1/explain", web::get().to(explain))
+            .route("/v1/drain", web::post().to(drain))
+    });
+    let server = server
+        .workers(1)
+        .disable_signals()
+        .bind(settings.admin)
+        .map_err(|error| RouterError::step(StepName::Listen, settings.admin, error))?;
+    Ok(server.run())
+}
+
+async fn status(request: HttpRequest, state: web::types::State<AdminState>) -> HttpResponse {
+    match allow(&request, &state, AdminScope::Read) {
+        Ok(()) => HttpResponse::Ok().json(&*state.board.status()),
+        Err(response) => response,
+    }
+}
+
+async fn explain(
+    request: HttpRequest,
+    query: web::types::Query<ExplainQuery>,
+    state: web::types::State<AdminState>,
+) -> HttpResponse {
+    if let Err(response) = allow(&request, &state, AdminScope::Read) {
+        return response;
+    }
+    let (model, chat) = (query.model.key(), query.chat.key());
+    let routes = state
+        .control
+        .ask(|reply| ControlEvent::Explain(ExplainAsk { model, chat, reply }))
+        .await;
+    HttpResponse::Ok().json(&ExplainBody {
+        routes: routes.unwrap_or_default(),
+    })
+}
+
+async fn drain(request: HttpRequest, state: web::types::State<AdminState>) -> HttpResponse {
+    if let Err(response) = allow(&request, &state, AdminScope::Drain) {
+        return response;
+    }
+    state.control.tell(ControlEvent::Drain);
+    HttpResponse::Accepted().finish()
+}
+
+fn allow(request: &HttpRequest, state: &AdminState, scope: AdminScope) -> Result<(), HttpResponse> {
+    let fault = |text: &str| AdminFault {
+        error: text.to_owned(),
+    };
+    let value = request.headers().get("authorization");
+    let token = value
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "));
+    let digest = token.map(token_digest);
+    let known = state
+        .tokens
+        .iter()
+        .find(|known| Some(&known.token_digest) == digest.as_ref());
+    match known {
+        None => Err(HttpResponse::Unauthorized().json(&fault("token is missing or unknown"))),
+        Some(known) if known.scopes.contains(&scope) => Ok(()),
+        Some(_) => Err(HttpResponse::Forbidden().json(&fault("token lacks the scope"))),
+    }
+}
--- /dev/null
+++ b/src/cmd.rs
@@ -0,0 +1,42 @@
+//! What the binaries share: the log, the runtime, exit codes.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use ntex::rt::{DefaultRuntime, System};
+
+use crate::error::{RouterError, RouterResult};
+use crate::log;
+
+/// Prints an error and turns the result into an exit code: 0, 1 (failed) or 2 (usage).
+pub fn exit_code(result: RouterResult<()>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+/// Runs a service in an ntex system of its own, with logs on standard error.
+pub fn run_in_system<F>(name: &str, body: F) -> RouterResult<()>
+where
+    F: AsyncFnOnce() -> RouterResult<()> + 'static,
+{
+    log::init(spdlog::LevelFilter::MoreSevereEqual(spdlog::Level::Info));
+    System::new(name, DefaultRuntime).block_on(body())
+}
+
+/// The settings file of a service, or none after its version was printed.
+pub fn settings_or_version(
+    version: bool,
+    settings: Option<PathBuf>,
+) -> RouterResult<Option<PathBuf>> {
+    if version {
+        println!("{}", env!("CARGO_PKG_VERSION"));
+        return Ok(None);
+    }
+    let missing = || RouterError::Usage("name a settings file; see --help".to_owned());
+    settings.map(Some).ok_or_else(missing)
+}
--- /dev/null
+++ b/src/control/control_loop.rs
@@ -0,0 +1,596 @@
+//! The loop of the control thread.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
+
+use crate::board::{AccountQueue, Board, LifeStage, PeerStatus, StatusSection, UpstreamStatus};
+use crate::control::call_controller::CallController;
+use crate::control::config_controller::ConfigController;
+use crate::control::event::{ControlEvent, ExplainAsk, RouteExplanation};
+use crate::control::peer_controller::{PeerController, targets_of};
+use crate::control::upstream_controller::UpstreamController;
+use crate::control::work_controller::WorkController;
+use crate::fleet::config_state::ManifestVerdict;
+use crate::fleet::wake_guard::{NewsKind, WakeGuard};
+use crate::ids::{EngineKey, RequestKey, VmId, VmKey};
+use crate::mono::{MonoTime, ProcessClock};
+use crate::peer::{PeerEvent, PeerMailbox, PeerName};
+use crate::policy::refusal::RefusalReason;
+use crate::policy::retry_budget::RetryBudget;
+use crate::policy::slot_steward::{EngineLoad, SlotAnswer};
+use crate::rules::RuleBook;
+use crate::wire::{DigestPong, FleetDigest, LoadEntry, PeerBody, SlotAsk, SlotReply};
+use crate::wire_convert::rank_from_wire;
+
+/// Time between two ticks.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time between two digests to peers.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between two writes of the status section.
+const STATUS_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How long a stopping router waits for peers to take its ledger.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time that locators may take to notice a drain, beside the life of their answers.
+const LOCATOR_MARGIN: Duration = Duration::from_millis(1500);
+
+/// What the loop is made of.
+pub struct ControlParts {
+    /// The VM that this router runs on.
+    pub own: VmId,
+    /// The clock of this process.
+    pub clock: ProcessClock,
+    /// The blackboard.
+    pub board: Arc<Board>,
+    /// Configuration.
+    pub config: ConfigController,
+    /// Engines.
+    pub upstreams: UpstreamController,
+    /// Requests.
+    pub work: WorkController,
+    /// Peers.
+    pub peers: PeerController,
+    /// Calls that run at most once.
+    pub calls: CallController,
+    /// How long a drain waits for requests in progress.
+    pub drain_limit: Duration,
+    /// Told how far the router is in its life.
+    pub stage: watch::Sender<LifeStage>,
+}
+
+/// The control thread's state.
+pub struct ControlLoop {
+    parts: ControlParts,
+    guard: WakeGuard,
+    /// Events that rest on old beliefs, held until news has come.
+    held: VecDeque<ControlEvent>,
+    next_digest: MonoTime,
+    next_status: MonoTime,
+    stage: LifeStage,
+    stage_since: MonoTime,
+    handed_over: Option<MonoTime>,
+}
+
+impl ControlLoop {
+    /// A loop over its parts.
+    pub fn new(parts: ControlParts) -> Self {
+        Self {
+            parts,
+            guard: WakeGuard::default(),
+            held: VecDeque::new(),
+            next_digest: MonoTime::default(),
+            next_status: MonoTime::default(),
+            stage: LifeStage::Starting,
+            stage_since: MonoTime::default(),
+            handed_over: None,
+        }
+    }
+
+    /// Handles events and ticks until the router has stopped.
+    pub async fn run(mut self, mut events: UnboundedReceiver<ControlEvent>) {
+        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while self.stage != LifeStage::Stopped {
+            tokio::select! {
+                biased;
+                _ = ticks.tick() => self.tick(),
+                event = events.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => return,
+                },
+            }
+            let now = self.now();
+            if !self.guard.holds(now) {
+                self.parts.work.pump(now, &self.parts.peers);
+            }
+        }
+    }
+
+    fn now(&self) -> MonoTime {
+        self.parts.clock.now()
+    }
+
+    fn rules(&self) -> Option<Arc<RuleBook>> {
+        let accepted = self.parts.config.state().accepted()?;
+        Some(Arc::new(accepted.bundle.rules.clone()))
+    }
+
+    fn tick(&mut self) {
+        let now = self.now();
+        if self.guard.tick(now) {
+            spdlog::warn!("woken-after-pause", kv: { pauses = self.guard.pauses() });
+            self.parts.peers.redial_all();
+        }
+        self.release_held(now);
+        self.parts.calls.tick(now);
+        let present = self.parts.peers.view().present(now);
+        self.parts.work.scheduler.set_routers(&present);
+        self.parts
+            .upstreams
+            .refresh(now, &mut self.parts.work.scheduler);
+        if now >= self.next_digest {
+            self.next_digest = now + DIGEST_INTERVAL;
+            self.send_digest(now);
+        }
+        self.advance_stage(now);
+        if now >= self.next_status {
+            self.next_status = now + STATUS_INTERVAL;
+            self.write_status(now);
+        }
+    }
+
+    /// Handles an event, or holds it while it would act on beliefs from before a pause.
+    fn take(&mut self, event: ControlEvent) {
+        let acts = matches!(
+            event,
+            ControlEvent::Offer(_) | ControlEvent::Mint(_) | ControlEvent::Call(_)
+        );
+        if acts && self.guard.holds(self.now()) {
+            self.held.push_back(event);
+        } else {
+            self.handle(event);
+        }
+    }
+
+    fn release_held(&mut self, now: MonoTime) {
+        while !self.guard.holds(now) {
+            let Some(event) = self.held.pop_front() else {
+                return;
+            };
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        let now = self.now();
+        match event {
+            ControlEvent::Offer(offer) => self.offer(now, offer),
+            ControlEvent::Finish {
+                request,
+                engine,
+                answered,
+            } => {
+                self.finish(now, request, engine, answered);
+            }
+            ControlEvent::Cancel(request) => self.parts.work.cancel(request),
+            ControlEvent::Retry(reply) => {
+                let _ = reply.send(self.parts.work.retries.spend());
+            }
+            ControlEvent::Mint(ask) => {
+                if let Some(rules) = self.rules() {
+                    self.parts.calls.mint(now, ask, &rules);
+                }
+            }
+            ControlEvent::Call(offer) => {
+                if let Some(rules) = self.rules() {
+                    self.parts.calls.call(now, offer, &rules, &self.parts.peers);
+                }
+            }
+            ControlEvent::CallSettled { serial, record } => {
+                self.parts.calls.settled(serial, &record);
+            }
+            ControlEvent::Peer(event) => self.peer_event(now, event),
+            ControlEvent::Manifest(offer) => {
+                let verdict = self.parts.config.consider(&offer.manifest);
+                if !matches!(verdict, ManifestVerdict::Fetch(_)) {
+                    self.parts.config.service_heard();
+                }
+                self.guard.news(NewsKind::Revision, offer.asked);
+                let _ = offer.reply.send(verdict);
+            }
+            ControlEvent::Parts(offer) => {
+                self.parts.config.service_heard();
+                let board = Arc::clone(&self.parts.board);
+                if self
+                    .parts
+                    .config
+                    .complete(&board, &offer.manifest, offer.parts)
+                {
+                    self.apply_config();
+                }
+            }
+            ControlEvent::ConfigQuiet { asked, answered } => {
+                self.parts.config.service_heard();
+                if answered {
+                    self.guard.news(NewsKind::Revision, asked);
+                }
+            }
+            ControlEvent::VmList(word) => {
+                self.guard.news(NewsKind::VmList, word.asked);
+                if let Some(vms) = word.vms {
+                    self.parts.upstreams.set_list(vms);
+                    self.refresh_upstreams(now);
+                }
+            }
+            ControlEvent::Engine(word) => {
+                self.parts.upstreams.probed(now, word);
+                self.refresh_upstreams(now);
+            }
+            ControlEvent::ProbeTargets(reply) => {
+                let own = self.parts.own.key();
+                let scheduler = &self.parts.work.scheduler;
+                let _ = reply.send(self.parts.upstreams.probe_targets(now, own, scheduler));
+            }
+            ControlEvent::Explain(ask) => self.explain(now, ask),
+            ControlEvent::Drain => self.start_drain(now),
+        }
+    }
+
+    fn offer(&mut self, now: MonoTime, offer: crate::control::event::WorkOffer) {
+        let refusing = matches!(self.stage, LifeStage::Closing | LifeStage::Stopped);
+        self.parts.work.offer(offer);
+        if refusing {
+            let reason = RefusalReason::Draining;
+            self.parts
+                .work
+                .refuse_waiting(now, reason, &self.parts.peers);
+        }
+    }
+
+    fn finish(&mut self, now: MonoTime, request: RequestKey, engine: EngineKey, answered: bool) {
+        self.parts.upstreams.call_ended(now, engine, answered);
+        self.parts.work.finish(now, request, &self.parts.peers);
+        self.refresh_upstreams(now);
+    }
+
+    fn refresh_upstreams(&mut self, now: MonoTime) {
+        self.parts
+            .upstreams
+            .refresh(now, &mut self.parts.work.scheduler);
+    }
+
+    fn peer_event(&mut self, now: MonoTime, event: PeerEvent) {
+        match event {
+            PeerEvent::Up { name, mailbox } => {
+                self.parts.peers.up(&name, mailbox);
+                self.next_digest = now;
+            }
+            PeerEvent::Down { vm } => {
+                self.parts.peers.down(vm.key());
+                self.parts.config.peer_unreachable(vm.key());
+                self.parts.calls.peer_down(vm.key());
+            }
+            PeerEvent::Frame {
+                name,
+                body,
+                mailbox,
+                opened,
+            } => {
+                if !self.guard.predates(opened) {
+                    self.peer_frame(now, &name, body, &mailbox, opened);
+                }
+            }
+        }
+    }
+
+    fn peer_frame(
+        &mut self,
+        now: MonoTime,
+        name: &PeerName,
+        body: PeerBody,
+        mailbox: &PeerMailbox,
+        opened: MonoTime,
+    ) {
+        let peer = name.vm.key();
+        let board = Arc::clone(&self.parts.board);
+        match body {
+            PeerBody::Digest(digest) => {
+                self.digest(now, name, digest, mailbox);
+                self.guard.news(NewsKind::Revision, opened);
+            }
+            PeerBody::SlotAsk(ask) => self.slot_ask(now, peer, ask, mailbox),
+            PeerBody::SlotReply(reply) => self.slot_reply(now, reply),
+            PeerBody::SlotRelease(release) => {
+                let engine = EngineKey(release.engine);
+                self.parts.work.scheduler.released(now, peer, engine);
+            }
+            PeerBody::CallAsk(ask) => {
+                if !self.guard.holds(now) {
+                    self.parts.calls.relayed(now, ask, mailbox.clone());
+                }
+            }
+            PeerBody::CallReply(reply) => self.parts.calls.replied(peer, reply),
+            PeerBody::ManifestAsk(_) => self.parts.config.send_manifest(mailbox),
+            PeerBody::ManifestReply(reply) => {
+                if self
+                    .parts
+                    .config
+                    .peer_manifest(&board, peer, &reply, mailbox)
+                {
+                    self.apply_config();
+                }
+            }
+            PeerBody::PartsAsk(ask) => self.parts.config.send_parts(ask, mailbox),
+            PeerBody::PartsReply(reply) => {
+                if self.parts.config.peer_parts(&board, peer, reply) {
+                    self.apply_config();
+                }
+            }
+            PeerBody::Ledger(handover) => {
+                let life = self
+                    .rules()
+                    .map_or(Duration::ZERO, |rules| rules.ticket_life.0);
+                let ack = self.parts.calls.hold(now, life, handover);
+                let _ = mailbox.send(ack);
+            }
+            PeerBody::LedgerAck(_) => self.parts.calls.acked(peer),
+            PeerBody::Pong(_) | PeerBody::Hello(_) | PeerBody::Welcome(_) | PeerBody::Proof(_) => {}
+        }
+    }
+
+    fn digest(
+        &mut self,
+        now: MonoTime,
+        name: &PeerName,
+        digest: FleetDigest,
+        mailbox: &PeerMailbox,
+    ) {
+        let peer = name.vm.key();
+        let pong = DigestPong {
+            sequence: digest.sequence,
+        };
+        let _ = mailbox.send(PeerBody::Pong(pong));
+        self.parts.peers.heard(now, name, &digest);
+        let revision = crate::ids::RevisionNumber(digest.revision);
+        self.parts.config.peer_has(peer, revision, mailbox);
+        let loads: Vec<EngineLoad> = digest.loads.iter().map(|&load| load.into()).collect();
+        self.parts.work.scheduler.report(now, peer, &loads);
+        for entry in digest.reports {
+            self.parts.upstreams.peer_report(now, entry);
+        }
+        self.refresh_upstreams(now);
+    }
+
+    fn slot_ask(&mut self, now: MonoTime, peer: VmKey, ask: SlotAsk, mailbox: &PeerMailbox) {
+        if self.guard.holds(now) {
+            return;
+        }
+        let engine = EngineKey(ask.engine);
+        let rank = rank_from_wire(ask.rank);
+        let answer = self.parts.work.scheduler.grant(now, peer, engine, rank);
+        let reply = SlotReply {
+            request: ask.request,
+            engine: ask.engine,
+            granted: answer == SlotAnswer::Granted,
+        };
+        let _ = mailbox.send(PeerBody::SlotReply(reply));
+    }
+
+    fn slot_reply(&mut self, now: MonoTime, reply: SlotReply) {
+        let answer = if reply.granted {
+            SlotAnswer::Granted
+        } else {
+            SlotAnswer::Full
+        };
+        let request = RequestKey(reply.request);
+        let engine = EngineKey(reply.engine);
+        let steps = self
+            .parts
+            .work
+            .scheduler
+            .answer(now, request, engine, answer);
+        self.parts.work.carry_out(now, steps, &self.parts.peers);
+    }
+
+    /// Brings every controller to the configuration in force.
+    fn apply_config(&mut self) {
+        let Some(accepted) = self.parts.config.state().accepted() else {
+            return;
+        };
+        let bundle = Arc::clone(&accepted.bundle);
+        let rules = Arc::new(bundle.rules.clone());
+        let register = &bundle.register;
+        self.parts.work.retries = RetryBudget::new(rules.retry_budget);
+        self.parts.work.scheduler.set_rules(rules);
+        self.parts.upstreams.set_engines(register.engines.clone());
+        let vms = register.vms.iter().map(|vm| (&vm.id, vm.peer));
+        self.parts.peers.set_targets(targets_of(vms));
+        let now = self.now();
+        self.refresh_upstreams(now);
+        self.next_digest = now;
+    }
+
+    fn send_digest(&mut self, now: MonoTime) {
+        let loads = self.parts.work.scheduler.own_loads();
+        let digest = FleetDigest {
+            sequence: 0,
+            draining: !matches!(self.stage, LifeStage::Starting | LifeStage::Serving),
+            revision: self.parts.config.state().revision().0,
+            loads: loads.into_iter().map(LoadEntry::from).collect(),
+            reports: self.parts.upstreams.reports(now),
+        };
+        self.parts.peers.send_digest(digest);
+    }
+
+    fn start_drain(&mut self, now: MonoTime) {
+        if matches!(self.stage, LifeStage::Starting | LifeStage::Serving) {
+            self.set_stage(now, LifeStage::Draining);
+            self.next_digest = now;
+        }
+    }
+
+    fn set_stage(&mut self, now: MonoTime, stage: LifeStage) {
+        spdlog::info!("stage", kv: { stage = format!("{stage:?}").to_lowercase() });
+        self.stage = stage;
+        self.stage_since = now;
+        self.parts.board.set_stage(stage);
+        let _ = self.parts.stage.send(stage);
+    }
+
+    fn advance_stage(&mut self, now: MonoTime) {
+        match self.stage {
+            LifeStage::Starting if self.parts.config.is_settled() => {
+                self.set_stage(now, LifeStage::Serving);
+            }
+            LifeStage::Draining => {
+                let kept = self
+                    .rules()
+                    .map_or(Duration::ZERO, |rules| rules.locator_answer.0);
+                if now.since(self.stage_since) >= kept + LOCATOR_MARGIN {
+                    self.set_stage(now, LifeStage::Closing);
+                }
+            }
+            LifeStage::Closing => self.advance_closing(now),
+            LifeStage::Starting | LifeStage::Serving | LifeStage::Stopped => {}
+        }
+    }
+
+    /// Waits for requests in progress, then for the handover of the ledger.
+    fn advance_closing(&mut self, now: MonoTime) {
+        if let Some(handed_over) = self.handed_over {
+            let peers = self.parts.peers.connected().len();
+            let held = self.parts.calls.holders().len();
+            if held >= peers || now.since(handed_over) >= HANDOVER_LIMIT {
+                spdlog::info!("ledger-handed-over", kv: { holders = held, peers });
+                self.set_stage(now, LifeStage::Stopped);
+            }
+            return;
+        }
+        let waiting: u32 = self.parts.work.scheduler.waiting().iter().sum();
+        let busy = waiting > 0
+            || self.parts.work.scheduler.running_len() > 0
+            || self.parts.calls.running() > 0;
+        let late = now.since(self.stage_since) >= self.parts.drain_limit;
+        if busy && !late {
+            return;
+        }
+        let handover = self.parts.calls.hand_over();
+        for peer in self.parts.peers.connected() {
+            self.parts
+                .peers
+                .send(peer, PeerBody::Ledger(handover.clone()));
+        }
+        self.handed_over = Some(now);
+    }
+
+    fn explain(&self, now: MonoTime, ask: ExplainAsk) {
+        let scheduler = &self.parts.work.scheduler;
+        let mut order = scheduler.preference(ask.model, ask.chat);
+        let of_model = self.parts.upstreams.engines().iter();
+        let closed = of_model
+            .filter(|engine| engine.model.key() == ask.model)
+            .map(|engine| engine.id.key())
+            .filter(|key| !order.contains(key));
+        let closed: Vec<EngineKey> = closed.collect();
+        order.extend(closed);
+        let routes = order.into_iter().filter_map(|key| {
+            let mut engines = self.parts.upstreams.engines().iter();
+            let engine = engines.find(|engine| engine.id.key() == key)?;
+            Some(RouteExplanation {
+                engine: engine.id.clone(),
+                steward: self.vm_named(scheduler.steward_of(key)),
+                running: scheduler.load(key),
+                reason: self.parts.upstreams.state(now, key).to_string(),
+            })
+        });
+        let _ = ask.reply.send(routes.collect());
+    }
+
+    fn vm_named(&self, key: VmKey) -> Option<VmId> {
+        let mut vms = std::iter::once(&self.parts.own).chain(self.parts.peers.targets());
+        vms.find(|vm| vm.key() == key).cloned()
+    }
+
+    fn write_status(&self, now: MonoTime) {
+        let parts = &self.parts;
+        parts.board.set_status(StatusSection {
+            stage: self.stage,
+            revision: parts.config.state().revision(),
+            rejected: parts.config.rejection(),
+            upstreams: self.upstream_status(now),
+            peers: self.peer_status(now),
+            waiting: parts.work.scheduler.waiting(),
+            queues: self.account_queues(),
+            running: parts.work.scheduler.running_len() as u64,
+            ledger: parts.calls.ledger_len() as u64,
+            handed_ledgers: parts.calls.held_len() as u64,
+            pauses: self.guard.pauses(),
+        });
+    }
+
+    fn upstream_status(&self, now: MonoTime) -> Vec<UpstreamStatus> {
+        let parts = &self.parts;
+        let engines = parts.upstreams.engines().iter();
+        engines
+            .map(|engine| {
+                let key = engine.id.key();
+                let age = parts.upstreams.report_age(now, key);
+                UpstreamStatus {
+                    engine: engine.id.clone(),
+                    model: engine.model.clone(),
+                    state: parts.upstreams.state(now, key),
+                    running: parts.work.scheduler.load(key),
+                    slots: engine.slots,
+                    report_age_ms: age.map(|age| age.as_millis() as u64),
+                    steward: parts.work.scheduler.steward_of(key) == parts.own.key(),
+                }
+            })
+            .collect()
+    }
+
+    fn peer_status(&self, now: MonoTime) -> Vec<PeerStatus> {
+        let peers = &self.parts.peers;
+        let mut status: Vec<PeerStatus> = peers
+            .targets()
+            .map(|vm| {
+                let record = peers.view().record(vm.key());
+                PeerStatus {
+                    vm: vm.clone(),
+                    answers: peers.view().answers(now, vm.key()),
+                    draining: record.is_some_and(|record| record.draining),
+                    revision: record.map(|record| record.revision).unwrap_or_default(),
+                }
+            })
+            .collect();
+        status.sort_by(|a, b| a.vm.cmp(&b.vm));
+        status
+    }
+
+    fn account_queues(&self) -> Vec<AccountQueue> {
+        let Some(accepted) = self.parts.config.state().accepted() else {
+            return Vec::new();
+        };
+        let waiting = self.parts.work.waiting_accounts();
+        if waiting.is_empty() {
+            return Vec::new();
+        }
+        let accounts = accepted.bundle.register.accounts.iter();
+        accounts
+            .filter_map(|account| {
+                let waiting = *waiting.get(&account.id.key())?;
+                Some(AccountQueue {
+                    account: account.id.clone(),
+                    waiting,
+                })
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/control/peer_controller.rs
@@ -0,0 +1,146 @@
+//! Connections with the other routers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use crate::control::event::{ControlEvent, ControlHandle};
+use crate::fleet::peer_view::{PeerRecord, PeerView};
+use crate::ids::{RevisionNumber, VmId, VmKey};
+use crate::mono::MonoTime;
+use crate::peer::{PeerIdentity, PeerMailbox, PeerName, PeerTarget, dial_peer};
+use crate::wire::{FleetDigest, PeerBody};
+
+struct PeerLink {
+    target: PeerTarget,
+    task: tokio::task::AbortHandle,
+    mailbox: Option<PeerMailbox>,
+}
+
+/// Dialled connections and what peers say of themselves.
+pub struct PeerController {
+    own: PeerIdentity,
+    handle: ControlHandle,
+    links: HashMap<VmKey, PeerLink>,
+    view: PeerView,
+    sequence: u64,
+}
+
+impl PeerController {
+    /// A controller without connections.
+    pub fn new(own: PeerIdentity, handle: ControlHandle) -> Self {
+        Self {
+            own,
+            handle,
+            links: HashMap::new(),
+            view: PeerView::default(),
+            sequence: 0,
+        }
+    }
+
+    /// What peers say of themselves.
+    pub fn view(&self) -> &PeerView {
+        &self.view
+    }
+
+    /// Dials exactly these peers.
+    pub fn set_targets(&mut self, targets: Vec<PeerTarget>) {
+        let own = self.own.vm.clone();
+        let targets: Vec<PeerTarget> = targets.into_iter().filter(|t| t.vm != own).collect();
+        self.links.retain(|_, link| {
+            let kept = targets.contains(&link.target);
+            if !kept {
+                link.task.abort();
+            }
+            kept
+        });
+        for target in targets {
+            if !self.links.contains_key(&target.vm.key()) {
+                self.dial(target);
+            }
+        }
+    }
+
+    /// Drops every connection and dials again, because a pause made them stale.
+    pub fn redial_all(&mut self) {
+        self.view.distrust_all();
+        let links: Vec<PeerLink> = self.links.drain().map(|(_, link)| link).collect();
+        for link in links {
+            link.task.abort();
+            self.dial(link.target);
+        }
+    }
+
+    /// Takes a new connection.
+    pub fn up(&mut self, name: &PeerName, mailbox: PeerMailbox) {
+        if let Some(link) = self.links.get_mut(&name.vm.key()) {
+            link.mailbox = Some(mailbox);
+        }
+    }
+
+    /// Forgets a connection that ended.
+    pub fn down(&mut self, vm: VmKey) {
+        if let Some(link) = self.links.get_mut(&vm) {
+            link.mailbox = None;
+        }
+    }
+
+    /// Takes what a peer says of itself.
+    pub fn heard(&mut self, now: MonoTime, name: &PeerName, digest: &FleetDigest) {
+        self.view.heard(
+            name.vm.key(),
+            PeerRecord {
+                incarnation: name.incarnation,
+                heard: now,
+                draining: digest.draining,
+                revision: RevisionNumber(digest.revision),
+            },
+        );
+    }
+
+    /// Sends a frame on the connection that this router dialled; false when there is none.
+    pub fn send(&self, vm: VmKey, body: PeerBody) -> bool {
+        let mailbox = self.links.get(&vm).and_then(|link| link.mailbox.as_ref());
+        mailbox.is_some_and(|mailbox| mailbox.send(body).is_ok())
+    }
+
+    /// Sends a digest to every connected peer.
+    pub fn send_digest(&mut self, mut digest: FleetDigest) {
+        self.sequence += 1;
+        digest.sequence = self.sequence;
+        for vm in self.connected() {
+            self.send(vm, PeerBody::Digest(digest.clone()));
+        }
+    }
+
+    /// Peers with a proved connection.
+    pub fn connected(&self) -> Vec<VmKey> {
+        let connected = self.links.iter().filter(|(_, link)| link.mailbox.is_some());
+        connected.map(|(&vm, _)| vm).collect()
+    }
+
+    /// Peers that are dialled.
+    pub fn targets(&self) -> impl Iterator<Item = &VmId> {
+        self.links.values().map(|link| &link.target.vm)
+    }
+
+    fn dial(&mut self, target: PeerTarget) {
+        let handle = self.handle.clone();
+        let notify = move |event| handle.tell(ControlEvent::Peer(event));
+        let task = tokio::task::spawn_local(dial_peer(self.own.clone(), target.clone(), notify));
+        let link = PeerLink {
+            task: task.abort_handle(),
+            mailbox: None,
+            target,
+        };
+        self.links.insert(link.target.vm.key(), link);
+    }
+}
+
+/// The targets that a list of VMs and peer addresses names.
+pub fn targets_of<'a>(vms: impl Iterator<Item = (&'a VmId, SocketAddr)>) -> Vec<PeerTarget> {
+    vms.map(|(vm, address)| PeerTarget {
+        vm: vm.clone(),
+        address,
+    })
+    .collect()
+}
--- /dev/null
+++ b/src/control/work_controller.rs
@@ -0,0 +1,145 @@
+//! Carries out what the scheduler wants: verdicts to traffic, questions to stewards.
+
+use std::collections::HashMap;
+
+use tokio::sync::oneshot;
+
+use crate::control::event::{WorkOffer, WorkVerdict};
+use crate::control::peer_controller::PeerController;
+use crate::ids::{AccountKey, EngineKey, RequestKey};
+use crate::mono::MonoTime;
+use crate::policy::refusal::RefusalReason;
+use crate::policy::request_scheduler::{RequestScheduler, SchedulerStep};
+use crate::policy::retry_budget::RetryBudget;
+use crate::wire::{PeerBody, SlotAsk, SlotRelease};
+
+/// Requests that wait for a verdict.
+#[derive(Debug)]
+pub struct WorkController {
+    /// The queues and slots.
+    pub scheduler: RequestScheduler,
+    /// The budget for further attempts.
+    pub retries: RetryBudget,
+    replies: HashMap<RequestKey, oneshot::Sender<WorkVerdict>>,
+    accounts: HashMap<RequestKey, AccountKey>,
+}
+
+impl WorkController {
+    /// A controller over a scheduler.
+    pub fn new(scheduler: RequestScheduler, retries: RetryBudget) -> Self {
+        Self {
+            scheduler,
+            retries,
+            replies: HashMap::new(),
+            accounts: HashMap::new(),
+        }
+    }
+
+    /// Takes a request into its queue, or refuses it.
+    pub fn offer(&mut self, offer: WorkOffer) {
+        let WorkOffer { item, reply } = offer;
+        let (request, account) = (item.request, item.account);
+        self.retries.earn();
+        match self.scheduler.offer(item) {
+            Ok(()) => {
+                self.replies.insert(request, reply);
+                self.accounts.insert(request, account);
+            }
+            Err(refusal) => {
+                let _ = reply.send(WorkVerdict::Refused(refusal));
+            }
+        }
+    }
+
+    /// Binds waiting requests and carries the steps out.
+    pub fn pump(&mut self, now: MonoTime, peers: &PeerController) {
+        let steps = self.scheduler.poll(now);
+        self.carry_out(now, steps, peers);
+    }
+
+    /// Carries out steps.
+    pub fn carry_out(&mut self, now: MonoTime, steps: Vec<SchedulerStep>, peers: &PeerController) {
+        for step in steps {
+            self.carry_out_one(now, step, peers);
+        }
+    }
+
+    /// Counts a request as ended.
+    pub fn finish(&mut self, now: MonoTime, request: RequestKey, peers: &PeerController) {
+        if let Some(step) = self.scheduler.finish(now, request) {
+            self.carry_out_one(now, step, peers);
+        }
+    }
+
+    /// Forgets a request whose caller left while it waited.
+    pub fn cancel(&mut self, request: RequestKey) {
+        self.scheduler.cancel(request);
+        self.replies.remove(&request);
+        self.accounts.remove(&request);
+    }
+
+    /// Refuses everything that waits.
+    pub fn refuse_waiting(&mut self, now: MonoTime, reason: RefusalReason, peers: &PeerController) {
+        let steps = self.scheduler.refuse_waiting(reason);
+        self.carry_out(now, steps, peers);
+    }
+
+    /// Accounts with waiting requests, and how many.
+    pub fn waiting_accounts(&self) -> HashMap<AccountKey, u32> {
+        let mut counts = HashMap::new();
+        for &account in self.accounts.values() {
+            *counts.entry(account).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    fn carry_out_one(&mut self, now: MonoTime, step: SchedulerStep, peers: &PeerController) {
+        match step {
+            SchedulerStep::Run { item, engine } => self.tell_run(now, item.request, engine, peers),
+            SchedulerStep::Refuse { item, refusal } => {
+                if let Some(reply) = self.take_reply(item.request) {
+                    let _ = reply.send(WorkVerdict::Refused(refusal));
+                }
+            }
+            SchedulerStep::Ask {
+                request,
+                rank,
+                engine,
+                steward,
+            } => {
+                let ask = SlotAsk {
+                    request: request.0,
+                    engine: engine.0,
+                    rank: rank.index() as u32,
+                };
+                // An ask that can't be sent runs into its time limit.
+                peers.send(steward, PeerBody::SlotAsk(ask));
+            }
+            SchedulerStep::Release { engine, steward } => {
+                let release = SlotRelease { engine: engine.0 };
+                peers.send(steward, PeerBody::SlotRelease(release));
+            }
+        }
+    }
+
+    fn tell_run(
+        &mut self,
+        now: MonoTime,
+        request: RequestKey,
+        engine: EngineKey,
+        peers: &PeerController,
+    ) {
+        let told = self
+            .take_reply(request)
+            .is_some_and(|reply| reply.send(WorkVerdict::Run(engine)).is_ok());
+        if !told {
+            // The caller left between the queue and the engine.
+            self.finish(now, request, peers);
+        }
+    }
+
+    fn take_reply(&mut self, request: RequestKey) -> Option<oneshot::Sender<WorkVerdict>> {
+        self.accounts.remove(&request);
+        self.replies.remove(&request)
+    }
+}
--- /dev/null
+++ b/src/entry/call_handler.rs
@@ -0,0 +1,150 @@
+//! `POST /v1/services/…`: calls to services, and the tickets for those that may not be repeated.
+
+use std::time::Duration;
+
+use ntex::http::StatusCode;
+use ntex::web::{self, HttpRequest, HttpResponse};
+
+use crate::control::{CallOffer, ControlEvent, MintAsk};
+use crate::entry::chat_handler::read_body;
+use crate::entry::reply::{minted, not_run, rejected, ticket_needed};
+use crate::entry::{EntryState, authenticate, header};
+use crate::ids::{AccountKey, ServiceId, ServiceKey};
+use crate::policy::ticket::CallTicket;
+use crate::policy::ticket_ledger::{CallOutcome, CallRecord, MintRefusal};
+
+/// Header that carries a ticket.
+const HEADER_TICKET: &str = "x-ticket";
+
+/// Header that says what is known of a call.
+const HEADER_OUTCOME: &str = "x-outcome";
+
+/// How much longer than the service the owner's answer may take.
+const OWNER_MARGIN: Duration = Duration::from_secs(2);
+
+/// Hands out a ticket.
+pub async fn mint(request: HttpRequest, state: web::types::State<EntryState>) -> HttpResponse {
+    let target = match call_target(&request, &state) {
+        Ok(target) => target,
+        Err(response) => return response,
+    };
+    match new_ticket(&state, target).await {
+        Ok(ticket) => minted(ticket.to_string()),
+        Err(response) => response,
+    }
+}
+
+/// Runs a call, at most once for each ticket.
+pub async fn call(
+    request: HttpRequest,
+    payload: web::types::Payload,
+    state: web::types::State<EntryState>,
+) -> HttpResponse {
+    let target = match call_target(&request, &state) {
+        Ok(target) => target,
+        Err(response) => return response,
+    };
+    let Some(text) = header(&request, HEADER_TICKET) else {
+        return match new_ticket(&state, target).await {
+            Ok(ticket) => ticket_needed(ticket.to_string()),
+            Err(response) => response,
+        };
+    };
+    let ticket: CallTicket = match text.parse() {
+        Ok(ticket) => ticket,
+        Err(error) => {
+            return rejected(
+                StatusCode::BAD_REQUEST,
+                &format!("{HEADER_TICKET}: {error}"),
+            );
+        }
+    };
+    let body = match read_body(payload, target.max_body).await {
+        Ok(body) => body,
+        Err(fault) => return rejected(fault.status(), fault.reason()),
+    };
+    let body = bytes::Bytes::copy_from_slice(&body);
+    let asked = state.control.ask(|reply| {
+        ControlEvent::Call(CallOffer {
+            ticket,
+            account: target.account,
+            service: target.service,
+            body,
+            reply,
+        })
+    });
+    let limit = target.service_answer + OWNER_MARGIN;
+    let record = tokio::time::timeout(limit, asked).await.ok().flatten();
+    let late = || CallRecord::bare(CallOutcome::Unknown, 504, "the owner does not answer");
+    respond(&record.unwrap_or_else(late))
+}
+
+/// Who calls what, and the limits on it.
+#[derive(Clone, Copy)]
+struct CallTarget {
+    account: AccountKey,
+    service: ServiceKey,
+    max_body: usize,
+    service_answer: Duration,
+}
+
+fn call_target(request: &HttpRequest, state: &EntryState) -> Result<CallTarget, HttpResponse> {
+    let Some(config) = state.board.config() else {
+        return Err(rejected(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration yet",
+        ));
+    };
+    let Some(account) = authenticate(request, &config) else {
+        let reason = "bearer token is missing or unknown";
+        return Err(rejected(StatusCode::UNAUTHORIZED, reason));
+    };
+    let name = request.match_info().get("service").unwrap_or_default();
+    let service = name.parse::<ServiceId>().map(|service| service.key());
+    let known = service.ok().filter(|key| config.services.contains_key(key));
+    let Some(service) = known else {
+        return Err(rejected(
+            StatusCode::NOT_FOUND,
+            "service is not in the register",
+        ));
+    };
+    Ok(CallTarget {
+        account: account.id.key(),
+        service,
+        max_body: config.bundle.rules.max_body.0 as usize,
+        service_answer: config.bundle.rules.service_answer.0,
+    })
+}
+
+async fn new_ticket(state: &EntryState, target: CallTarget) -> Result<CallTicket, HttpResponse> {
+    let CallTarget {
+        account, service, ..
+    } = target;
+    let minted = state
+        .control
+        .ask(|reply| {
+            ControlEvent::Mint(MintAsk {
+                account,
+                service,
+                reply,
+            })
+        })
+        .await;
+    let refuse = |status, reason| Err(not_run(status, reason));
+    match minted {
+        Some(Ok(ticket)) => Ok(ticket),
+        Some(Err(MintRefusal::TooMany)) => {
+            refuse(StatusCode::TOO_MANY_REQUESTS, "too many unexpired tickets")
+        }
+        Some(Err(MintRefusal::Sealed)) | None => {
+            refuse(StatusCode::SERVICE_UNAVAILABLE, "draining")
+        }
+    }
+}
+
+fn respond(record: &CallRecord) -> HttpResponse {
+    let status = StatusCode::from_u16(record.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    HttpResponse::build(status)
+        .header(HEADER_OUTCOME, record.outcome.to_string())
+        .body(ntex::util::Bytes::copy_from_slice(&record.body))
+}
--- /dev/null
+++ b/src/entry/chat_handler.rs
@@ -0,0 +1,196 @@
+//! `POST /v1/chat/completions`: a request to a model, answered as a stream of events.
+
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+use ntex::web::{self, HttpRequest, HttpResponse};
+use rand::RngExt;
+use serde::Deserialize;
+use tokio::sync::mpsc::{Receiver, channel};
+use tokio::time::timeout;
+
+use crate::board::ConfigSection;
+use crate::entry::caller_stream::CallerStream;
+use crate::entry::reply::{not_run, refused};
+use crate::entry::{EntryState, authenticate, header};
+use crate::ids::{ChatId, ModelId, RequestId};
+use crate::policy::work_item::WorkItem;
+use crate::register::AccountEntry;
+use crate::rules::WorkRank;
+use crate::upstream::EngineRequest;
+use crate::upstream::{AnswerRelay, RelayContext, RelayMessage, ping_comment};
+
+/// Header that names the chat.
+const HEADER_CHAT: &str = "x-chat-id";
+
+/// Header that names the rank; without it a request counts as a quick question.
+const HEADER_RANK: &str = "x-rank";
+
+/// Messages between a relay and its caller's connection.
+const RELAY_BUFFER: usize = 64;
+
+/// Bytes of a body that count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Tokens that an answer is taken to have when the caller sets no limit.
+const DEFAULT_ANSWER_TOKENS: u64 = 256;
+
+/// What a router reads of a chat body; the rest goes to the engine as it is.
+#[derive(Deserialize)]
+struct ChatBody {
+    model: ModelId,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+}
+
+/// Handles a chat request.
+pub async fn chat(
+    request: HttpRequest,
+    payload: web::types::Payload,
+    state: web::types::State<EntryState>,
+) -> HttpResponse {
+    let Some(config) = state.board.config() else {
+        return not_run(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+    };
+    let Some(account) = authenticate(&request, &config) else {
+        return not_run(
+            StatusCode::UNAUTHORIZED,
+            "bearer token is missing or unknown",
+        );
+    };
+    let limit = config.bundle.rules.max_body.0 as usize;
+    let body = match read_body(payload, limit).await {
+        Ok(body) => body,
+        Err(fault) => return not_run(fault.status(), fault.reason()),
+    };
+    let id = fresh_request_id();
+    let item = match work_item(&request, &state, account, &id, &body) {
+        Ok(item) => item,
+        Err(reason) => return not_run(StatusCode::BAD_REQUEST, &reason),
+    };
+    let engine_request = EngineRequest {
+        request: id.clone(),
+        rank: item.rank,
+        body: bytes::Bytes::copy_from_slice(&body),
+    };
+    let (out, messages) = channel(RELAY_BUFFER);
+    let context = RelayContext {
+        client: state.client.clone(),
+        board: state.board.clone(),
+        control: state.control.clone(),
+        clock: state.clock,
+    };
+    let relay = AnswerRelay::new(context, config.clone(), item, engine_request, out);
+    ntex::rt::spawn(relay.run());
+    respond(&config, &id, messages).await
+}
+
+/// Waits for the first message to choose between a refusal and a stream. A request that waits
+/// long gets its stream early, so that its caller can tell that the connection lives.
+async fn respond(
+    config: &ConfigSection,
+    id: &RequestId,
+    mut messages: Receiver<RelayMessage>,
+) -> HttpResponse {
+    let ping = config.bundle.rules.caller_ping.0;
+    let first = match timeout(ping, messages.recv()).await {
+        Ok(Some(RelayMessage::Bytes(bytes))) => bytes,
+        Ok(Some(RelayMessage::Refused(refusal))) => return refused(&refusal),
+        Ok(None) => return not_run(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        Err(_) => ping_comment(),
+    };
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .header("cache-control", "no-store")
+        .header("x-request-id", id.as_str())
+        .streaming(CallerStream::new(first, messages, ping))
+}
+
+fn work_item(
+    request: &HttpRequest,
+    state: &EntryState,
+    account: &AccountEntry,
+    id: &RequestId,
+    body: &Bytes,
+) -> Result<WorkItem, String> {
+    let chat_body: ChatBody =
+        serde_json::from_slice(body).map_err(|error| format!("body: {error}"))?;
+    let rank = match header(request, HEADER_RANK) {
+        None => WorkRank::Quick,
+        Some(text) => text
+            .parse()
+            .map_err(|error| format!("{HEADER_RANK}: {error}"))?,
+    };
+    let chat = match header(request, HEADER_CHAT) {
+        None => id.as_str().parse::<ChatId>(),
+        Some(text) => text.parse(),
+    };
+    let chat = chat.map_err(|error| format!("{HEADER_CHAT}: {error}"))?;
+    let answer = chat_body.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
+    Ok(WorkItem {
+        request: id.key(),
+        account: account.id.key(),
+        weight: account.weight,
+        rank,
+        model: chat_body.model.key(),
+        chat: chat.key(),
+        cost: body.len() as u64 / BYTES_PER_TOKEN + answer,
+        accepted: state.clock.now(),
+        avoid: None,
+    })
+}
+
+fn fresh_request_id() -> RequestId {
+    let number: u128 = rand::rng().random();
+    let text = format!("{number:032x}");
+    // Hexadecimal digits are a valid id.
+    text.parse().expect("hexadecimal digits form an id")
+}
+
+/// Why a body was not read.
+#[derive(Clone, Copy, Debug)]
+pub enum BodyFault {
+    /// It is larger than the rules allow.
+    TooLarge,
+    /// The connection failed or was too slow.
+    Broken,
+}
+
+impl BodyFault {
+    /// Status of the refusal.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Broken => StatusCode::BAD_REQUEST,
+        }
+    }
+
+    /// Reason of the refusal.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::TooLarge => "body is larger than max_body",
+            Self::Broken => "body ended early or came too slowly",
+        }
+    }
+}
+
+/// Reads a body of at most `limit` bytes.
+pub async fn read_body(mut payload: web::types::Payload, limit: usize) -> Result<Bytes, BodyFault> {
+    let mut body = ntex::util::BytesMut::new();
+    let read = async {
+        while let Some(chunk) = payload.recv().await {
+            let chunk = chunk.map_err(|_| BodyFault::Broken)?;
+            if body.len() + chunk.len() > limit {
+                return Err(BodyFault::TooLarge);
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(())
+    };
+    timeout(BODY_LIMIT, read)
+        .await
+        .map_err(|_| BodyFault::Broken)??;
+    Ok(body.freeze())
+}
+
+/// Time that a caller may take to send a body.
+const BODY_LIMIT: std::time::Duration = std::time::Duration::from_secs(10);
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,6 @@
+//! What a router believes of the rest of the fleet, and how fresh that is.
+
+pub mod config_state;
+pub mod peer_view;
+pub mod upstream_view;
+pub mod wake_guard;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,33 @@
+//! A router fleet between many callers with returning chats and the engines and services that
+//! answer them.
+//!
+//! Calls go down only: `policy` and `fleet` decide and touch no socket, clock or thread;
+//! `control` runs them on one thread and publishes snapshots on the `board`; `entry`,
+//! `upstream`, `peer`, `platform` and `admin` translate between the wire and the decisions.
+
+pub mod admin;
+pub mod board;
+pub mod bundle;
+pub mod client;
+pub mod cmd;
+pub mod config;
+pub mod control;
+pub mod entry;
+pub mod error;
+pub mod fleet;
+pub mod ids;
+pub mod locator;
+pub mod log;
+pub mod mono;
+pub mod orders;
+pub mod peer;
+pub mod platform;
+pub mod policy;
+pub mod register;
+pub mod router;
+pub mod rules;
+pub mod settings;
+pub mod units;
+pub mod upstream;
+pub mod wire;
+mod wire_convert;
--- /dev/null
+++ b/src/orders.rs
@@ -0,0 +1,119 @@
+//! Runs ticketed calls against their services, each at most once.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ntex::client::error::ClientError;
+use ntex::client::{Client, ClientResponse};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use crate::board::Board;
+use crate::client::{build_client, proves_unsent};
+use crate::control::{CallPlan, ControlEvent, ControlHandle};
+use crate::policy::placement::{WeightedChoice, rendezvous_order};
+use crate::policy::ticket_ledger::{CallOutcome, CallRecord};
+
+/// Largest answer of a service that the ledger keeps, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Runs calls as they are planned, until the process stops.
+pub async fn run_calls(
+    board: Arc<Board>,
+    control: ControlHandle,
+    mut plans: UnboundedReceiver<CallPlan>,
+) {
+    while let Some(plan) = plans.recv().await {
+        let board = Arc::clone(&board);
+        let control = control.clone();
+        ntex::rt::spawn(async move {
+            let serial = plan.serial;
+            let record = run_call(&board, plan).await;
+            if record.outcome == CallOutcome::Unknown {
+                spdlog::warn!("call-unknown", kv: { serial, status = record.status });
+            }
+            control.tell(ControlEvent::CallSettled { serial, record });
+        });
+    }
+}
+
+/// Sends a call to one instance after the other until one is reached. From the first byte that is
+/// written on, only the service's answer tells what became of it.
+async fn run_call(board: &Board, plan: CallPlan) -> CallRecord {
+    let not_run = |reason| CallRecord::bare(CallOutcome::NotRun, 503, reason);
+    let Some(config) = board.config() else {
+        return not_run("no configuration");
+    };
+    let Some(service) = config.services.get(&plan.service) else {
+        return not_run("service is not in the register");
+    };
+    let limit = config.bundle.rules.service_answer.0;
+    let Ok(client) = build_client(limit, MAX_ANSWER_BYTES).await else {
+        return not_run("no client");
+    };
+    for address in instance_order(plan.serial, &service.addresses) {
+        match send(&client, address, &service.id.to_string(), &plan, limit).await {
+            Ok(response) => return read_answer(response, limit).await,
+            Err(error) if proves_unsent(&error) => {
+                spdlog::warn!("service-unreachable", kv: {
+                    step = "connect", peer: = address, error: = error
+                });
+            }
+            Err(error) => {
+                spdlog::warn!("service-call-lost", kv: {
+                    step = "send", peer: = address, error: = error
+                });
+                return CallRecord::bare(CallOutcome::Unknown, 504, "the service did not answer");
+            }
+        }
+    }
+    not_run("no instance of the service can be reached")
+}
+
+async fn send(
+    client: &Client,
+    address: SocketAddr,
+    service: &str,
+    plan: &CallPlan,
+    limit: Duration,
+) -> Result<ClientResponse, ClientError> {
+    let call = client
+        .post(format!("http://{address}/v1/services/{service}"))
+        .force_close()
+        .content_type("application/json")
+        .send_body(ntex::util::Bytes::copy_from_slice(&plan.body));
+    tokio::time::timeout(limit, call)
+        .await
+        .unwrap_or(Err(ClientError::Timeout))
+}
+
+async fn read_answer(response: ClientResponse, limit: Duration) -> CallRecord {
+    let status = response.status().as_u16();
+    let body = tokio::time::timeout(limit, response.body().limit(MAX_ANSWER_BYTES)).await;
+    match body {
+        Ok(Ok(body)) => CallRecord {
+            outcome: CallOutcome::Done,
+            status,
+            body: Bytes::copy_from_slice(&body),
+        },
+        // The service answered, so the call ran; only its words are lost.
+        _ => CallRecord::bare(CallOutcome::Unknown, 504, "the service's answer was cut"),
+    }
+}
+
+fn instance_order(serial: u64, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
+    let choices: Vec<_> = addresses
+        .iter()
+        .enumerate()
+        .map(|(index, _)| WeightedChoice {
+            key: crate::ids::ServiceKey(index as u64),
+            weight: 1.0,
+        })
+        .collect();
+    let order = rendezvous_order(serial, &choices);
+    order
+        .into_iter()
+        .filter_map(|key| addresses.get(key.0 as usize).copied())
+        .collect()
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,287 @@
+//! What the platform publishes: the configuration service, the list of VMs, engines' reports.
+//!
+//! All of it is read, never written.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ntex::client::{Client, ClientResponse};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use tokio::sync::oneshot;
+
+use crate::bundle::{ConfigManifest, MANIFEST_KEY, PartDigest, PartStore};
+use crate::client::build_client;
+use crate::control::{
+    ControlEvent, ControlHandle, EngineWord, ListedVm, ManifestOffer, PartsOffer, ProbeTarget,
+    VmListWord,
+};
+use crate::error::{RouterError, RouterResult, StepName};
+use crate::fleet::config_state::ManifestVerdict;
+use crate::fleet::upstream_view::EngineReport;
+use crate::mono::ProcessClock;
+
+/// How long one watch of the manifest waits for a change. Each counts as one read of the service.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+
+/// How much longer than its wait a watch may take before its connection counts as silent.
+const WATCH_MARGIN: Duration = Duration::from_secs(1);
+
+/// Pause after the configuration service failed.
+const CONFIG_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time between two reads of the list of VMs.
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two reads of an engine's load.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest answer to a short question.
+const SHORT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Largest value that the configuration service holds, in bytes, with room for its envelope.
+const MAX_VALUE_BYTES: usize = 2 << 20;
+
+/// A value of the configuration service.
+#[derive(Debug, Deserialize)]
+struct ServiceValue {
+    /// Number that rises with every change of this key.
+    version: u64,
+    value: String,
+}
+
+/// The platform's list of VMs.
+#[derive(Debug, Deserialize)]
+struct VmListBody {
+    version: u64,
+    vms: Vec<ListedVm>,
+}
+
+/// An engine's own report.
+#[derive(Debug, Deserialize)]
+struct LoadBody {
+    leaving: bool,
+    running: u32,
+}
+
+/// Where the platform answers.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformAddresses {
+    /// The configuration service.
+    pub config_service: SocketAddr,
+    /// The list of VMs.
+    pub vm_list: SocketAddr,
+}
+
+/// Watches everything that the platform publishes, for as long as the process lives.
+pub async fn watch_platform(
+    addresses: PlatformAddresses,
+    control: ControlHandle,
+    clock: ProcessClock,
+) -> RouterResult<()> {
+    let watch = build_client(WATCH_WAIT + WATCH_MARGIN, MAX_VALUE_BYTES).await?;
+    let short = build_client(SHORT_LIMIT, MAX_VALUE_BYTES).await?;
+    let config = ConfigWatch {
+        client: watch,
+        address: addresses.config_service,
+        control: control.clone(),
+        clock,
+    };
+    ntex::rt::spawn(config.run());
+    ntex::rt::spawn(watch_list(
+        short.clone(),
+        addresses.vm_list,
+        control.clone(),
+        clock,
+    ));
+    ntex::rt::spawn(probe_engines(short, control, clock));
+    Ok(())
+}
+
+struct ConfigWatch {
+    client: Client,
+    address: SocketAddr,
+    control: ControlHandle,
+    clock: ProcessClock,
+}
+
+impl ConfigWatch {
+    async fn run(self) {
+        let mut version = 0;
+        loop {
+            let asked = self.clock.now();
+            match self.read(MANIFEST_KEY, version, WATCH_WAIT).await {
+                Ok(Some(value)) => {
+                    if self.offer(&value, asked).await.is_some() {
+                        version = value.version;
+                    } else {
+                        tokio::time::sleep(CONFIG_PAUSE).await;
+                    }
+                }
+                Ok(None) => self.quiet(asked, true),
+                Err(error) => {
+                    spdlog::debug!("config-service-failed", kv: { error: = error });
+                    self.quiet(asked, false);
+                    // A service that comes back may have started its versions anew.
+                    version = 0;
+                    tokio::time::sleep(CONFIG_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn quiet(&self, asked: crate::mono::MonoTime, answered: bool) {
+        self.control
+            .tell(ControlEvent::ConfigQuiet { asked, answered });
+    }
+
+    /// Offers a manifest and fetches its parts; none when a part could not be had.
+    async fn offer(&self, value: &ServiceValue, asked: crate::mono::MonoTime) -> Option<()> {
+        let Ok(manifest) = serde_json::from_str::<ConfigManifest>(&value.value) else {
+            spdlog::warn!("config-manifest-unreadable", kv: { version = value.version });
+            self.quiet(asked, true);
+            return Some(());
+        };
+        let (reply, verdict) = oneshot::channel();
+        let offer = ManifestOffer {
+            manifest: manifest.clone(),
+            asked,
+            reply,
+        };
+        self.control.tell(ControlEvent::Manifest(offer));
+        let ManifestVerdict::Fetch(missing) = verdict.await.ok()? else {
+            return Some(());
+        };
+        let parts = self.fetch(missing).await?;
+        self.control
+            .tell(ControlEvent::Parts(PartsOffer { manifest, parts }));
+        Some(())
+    }
+
+    async fn fetch(&self, missing: Vec<PartDigest>) -> Option<PartStore> {
+        let mut parts = PartStore::new();
+        for digest in missing {
+            match self.read(&digest.key(), 0, Duration::ZERO).await {
+                Ok(Some(value)) => parts.insert(digest, value.value),
+                Ok(None) => return None,
+                Err(error) => {
+                    spdlog::warn!("config-part-failed", kv: { error: = error });
+                    return None;
+                }
+            };
+        }
+        Some(parts)
+    }
+
+    /// Reads a key once its version is above `after`, waiting at most `wait` for that.
+    async fn read(
+        &self,
+        key: &str,
+        after: u64,
+        wait: Duration,
+    ) -> RouterResult<Option<ServiceValue>> {
+        let url = format!(
+            "http://{}/v1/values/{key}?after={after}&wait_ms={}",
+            self.address,
+            wait.as_millis()
+        );
+        get_json(
+            &self.client,
+            &url,
+            StepName::ConfigRead,
+            wait + WATCH_MARGIN,
+        )
+        .await
+    }
+}
+
+async fn watch_list(
+    client: Client,
+    address: SocketAddr,
+    control: ControlHandle,
+    clock: ProcessClock,
+) {
+    let mut version = 0;
+    loop {
+        let asked = clock.now();
+        let url = format!("http://{address}/v1/vms?after={version}");
+        match get_json::<VmListBody>(&client, &url, StepName::VmList, SHORT_LIMIT).await {
+            Ok(body) => {
+                let vms = body.map(|body| {
+                    version = body.version;
+                    body.vms
+                });
+                control.tell(ControlEvent::VmList(VmListWord { vms, asked }));
+            }
+            Err(error) => {
+                version = 0;
+                spdlog::debug!("vm-list-failed", kv: { error: = error });
+            }
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
+
+async fn probe_engines(client: Client, control: ControlHandle, clock: ProcessClock) {
+    loop {
+        let targets = control
+            .ask(ControlEvent::ProbeTargets)
+            .await
+            .unwrap_or_default();
+        for target in targets {
+            ntex::rt::spawn(probe_engine(client.clone(), target, control.clone(), clock));
+        }
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+async fn probe_engine(
+    client: Client,
+    target: ProbeTarget,
+    control: ControlHandle,
+    clock: ProcessClock,
+) {
+    let said = clock.now();
+    let url = format!("http://{}/v1/load", target.address);
+    let read = get_json::<LoadBody>(&client, &url, StepName::LoadReport, SHORT_LIMIT).await;
+    let report = match read {
+        Ok(body) => body.map(|body| EngineReport {
+            said,
+            leaving: body.leaving,
+            running: body.running,
+        }),
+        Err(error) => {
+            spdlog::debug!("engine-probe-failed", kv: { error: = error });
+            None
+        }
+    };
+    let engine = target.engine;
+    control.tell(ControlEvent::Engine(EngineWord { engine, report }));
+}
+
+/// Reads a JSON answer; none for an answer without content.
+async fn get_json<T: DeserializeOwned>(
+    client: &Client,
+    url: &str,
+    step: StepName,
+    limit: Duration,
+) -> RouterResult<Option<T>> {
+    let fault = |text: String| RouterError::step_text(step, url, &text);
+    let read = async {
+        let response = client.get(url).force_close().send().await;
+        let response = response.map_err(|error| fault(error.to_string()))?;
+        match response.status().as_u16() {
+            200 => read_json(response).await.map_err(fault).map(Some),
+            204 | 304 => Ok(None),
+            status => Err(fault(format!("status {status}"))),
+        }
+    };
+    let bounded = tokio::time::timeout(limit, read).await;
+    bounded.unwrap_or_else(|_| Err(fault("took too long".to_owned())))
+}
+
+async fn read_json<T: DeserializeOwned>(response: ClientResponse) -> Result<T, String> {
+    let body = response.body().limit(MAX_VALUE_BYTES).await;
+    let body = body.map_err(|error| error.to_string())?;
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/src/router.rs
@@ -0,0 +1,190 @@
+//! Puts a router together: the control thread, the thread for ticketed calls, the listeners.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::thread;
+
+use ntex::rt::{DefaultRuntime, System};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::sync::watch;
+
+use crate::admin::serve_operators;
+use crate::board::{Board, LifeStage};
+use crate::control::{
+    CallController, CallPlan, ConfigController, ControlEvent, ControlHandle, ControlLoop,
+    ControlParts, PeerController, UpstreamController, WorkController, targets_of,
+};
+use crate::entry::serve_callers;
+use crate::error::{RouterError, RouterResult, StepName};
+use crate::ids::IncarnationId;
+use crate::mono::ProcessClock;
+use crate::orders::run_calls;
+use crate::peer::{FleetKey, PeerIdentity, accept_peers};
+use crate::platform::{PlatformAddresses, watch_platform};
+use crate::policy::request_scheduler::RequestScheduler;
+use crate::policy::retry_budget::RetryBudget;
+use crate::policy::ticket_ledger::TicketLedger;
+use crate::rules::default_rules;
+use crate::settings::RouterSettings;
+
+/// Runs a router in the calling thread's ntex system until it has drained.
+pub async fn run_router(settings: RouterSettings) -> RouterResult<()> {
+    let router = start_router(&settings)?;
+    let mut stages = router.stages.clone();
+    let stopped = stages.wait_for(|&stage| stage == LifeStage::Stopped);
+    tokio::select! {
+        _ = stopped => {}
+        () = drain_on_signal(&router.control) => {}
+    }
+    let mut stages = router.stages.clone();
+    let _ = stages.wait_for(|&stage| stage == LifeStage::Stopped).await;
+    router.entry.stop(true).await;
+    router.admin.stop(false).await;
+    Ok(())
+}
+
+/// A running router.
+pub struct RunningRouter {
+    /// The control thread.
+    pub control: ControlHandle,
+    /// How far it is in its life.
+    pub stages: watch::Receiver<LifeStage>,
+    entry: ntex::server::Server,
+    admin: ntex::server::Server,
+}
+
+/// Opens every listener, then starts the threads.
+pub fn start_router(settings: &RouterSettings) -> RouterResult<RunningRouter> {
+    let clock = ProcessClock::start();
+    let board = Arc::new(Board::default());
+    let (events, queue) = unbounded_channel();
+    let control = ControlHandle::new(events);
+    let (plans, planned) = unbounded_channel();
+    let (stage, stages) = watch::channel(LifeStage::Starting);
+    let listener = std::net::TcpListener::bind(settings.peer)
+        .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+        .map_err(|error| RouterError::step(StepName::Listen, settings.peer, error))?;
+    let entry = serve_callers(settings, Arc::clone(&board), control.clone(), clock)?;
+    let admin = serve_operators(settings, Arc::clone(&board), control.clone())?;
+    let start = ControlStart {
+        settings: settings.clone(),
+        clock,
+        board: Arc::clone(&board),
+        control: control.clone(),
+        plans,
+        stage,
+        listener,
+        queue,
+    };
+    spawn_system("control", async move || start.run().await)?;
+    let calls_control = control.clone();
+    spawn_system("calls", async move || {
+        run_calls(board, calls_control, planned).await;
+    })?;
+    Ok(RunningRouter {
+        control,
+        stages,
+        entry,
+        admin,
+    })
+}
+
+/// Drains on the first SIGTERM or SIGINT; never returns before one.
+async fn drain_on_signal(control: &ControlHandle) {
+    wait_for_signal().await;
+    spdlog::info!("drain-signal");
+    control.tell(ControlEvent::Drain);
+}
+
+/// Waits for SIGTERM or SIGINT.
+pub async fn wait_for_signal() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let Ok(mut term) = signal(SignalKind::terminate()) else {
+        return;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
+fn spawn_system<F>(name: &'static str, body: F) -> RouterResult<()>
+where
+    F: AsyncFnOnce() + Send + 'static,
+{
+    let spawned = thread::Builder::new().name(name.to_owned()).spawn(move || {
+        System::new(name, DefaultRuntime).block_on(body());
+    });
+    spawned
+        .map(|_| ())
+        .map_err(|error| RouterError::step(StepName::Listen, name, error))
+}
+
+/// What the control thread needs to start.
+struct ControlStart {
+    settings: RouterSettings,
+    clock: ProcessClock,
+    board: Arc<Board>,
+    control: ControlHandle,
+    plans: tokio::sync::mpsc::UnboundedSender<CallPlan>,
+    stage: watch::Sender<LifeStage>,
+    listener: std::net::TcpListener,
+    queue: UnboundedReceiver<ControlEvent>,
+}
+
+impl ControlStart {
+    async fn run(self) {
+        let own = self.settings.vm.clone();
+        let incarnation = IncarnationId(rand::random());
+        let identity = PeerIdentity {
+            vm: own.clone(),
+            incarnation,
+            key: FleetKey::derive(&self.settings.fleet_key),
+            clock: self.clock,
+        };
+        self.accept(identity.clone());
+        let mut peers = PeerController::new(identity, self.control.clone());
+        let seeds = self.settings.seeds.iter();
+        peers.set_targets(targets_of(seeds.map(|seed| (&seed.vm, seed.peer))));
+        let others = self.settings.seeds.iter().filter(|seed| seed.vm != own);
+        let unheard: HashSet<_> = others.map(|seed| seed.vm.key()).collect();
+        let addresses = PlatformAddresses {
+            config_service: self.settings.config_service,
+            vm_list: self.settings.vm_list,
+        };
+        if let Err(error) = watch_platform(addresses, self.control.clone(), self.clock).await {
+            spdlog::error!("platform-watch-failed", kv: { error: = error });
+        }
+        let rules = Arc::new(default_rules());
+        let scheduler = RequestScheduler::new(own.key(), Arc::clone(&rules));
+        let ledger = TicketLedger::new(own.key(), incarnation, rand::random());
+        let parts = ControlParts {
+            clock: self.clock,
+            board: self.board,
+            config: ConfigController::new(unheard),
+            upstreams: UpstreamController::default(),
+            work: WorkController::new(scheduler, RetryBudget::new(rules.retry_budget)),
+            peers,
+            calls: CallController::new(own.key(), incarnation, ledger, self.plans),
+            drain_limit: self.settings.drain_limit.0,
+            stage: self.stage,
+            own,
+        };
+        ControlLoop::new(parts).run(self.queue).await;
+        // Connections with peers end with the process; callers' streams are served elsewhere.
+        std::future::pending::<()>().await;
+    }
+
+    fn accept(&self, identity: PeerIdentity) {
+        let control = self.control.clone();
+        let listener = self.listener.try_clone().and_then(TcpListener::from_std);
+        match listener {
+            Ok(listener) => {
+                let notify = move |event| control.tell(ControlEvent::Peer(event));
+                ntex::rt::spawn(accept_peers(listener, identity, notify));
+            }
+            Err(error) => spdlog::error!("peer-listen-failed", kv: { error: = error }),
+        }
+    }
+}
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,138 @@
+//! Quantities with units, as settings and registers write them.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::ValueError;
+
+macro_rules! serde_as_text {
+    ($name:ident) => {
+        impl TryFrom<String> for $name {
+            type Error = ValueError;
+
+            fn try_from(text: String) -> Result<Self, ValueError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(value: $name) -> String {
+                value.to_string()
+            }
+        }
+    };
+}
+
+/// A length of time, written with its unit: `250ms`, `5s`, `10m`.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct TimeSpan(pub Duration);
+
+impl TimeSpan {
+    /// A span of whole milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(Duration::from_millis(millis))
+    }
+}
+
+impl fmt::Display for TimeSpan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", humantime::format_duration(self.0))
+    }
+}
+
+impl FromStr for TimeSpan {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        humantime::parse_duration(text)
+            .map(Self)
+            .map_err(|_| ValueError::new(text, "a duration with its unit, such as 250ms or 5s"))
+    }
+}
+
+serde_as_text!(TimeSpan);
+
+/// A number of bytes, written with its unit: `64KiB`, `1MiB`, `512B`.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ByteSize(pub u64);
+
+const SIZE_UNITS: [(&str, u64); 4] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (unit, scale) = SIZE_UNITS
+            .into_iter()
+            .find(|&(_, scale)| self.0 >= scale && self.0.is_multiple_of(scale))
+            .unwrap_or(("B", 1));
+        write!(f, "{}{unit}", self.0 / scale)
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        let bad = || ValueError::new(text, "a size with its unit, such as 64KiB or 1MiB");
+        let (unit, scale) = SIZE_UNITS
+            .into_iter()
+            .find(|(unit, _)| text.ends_with(unit))
+            .ok_or_else(bad)?;
+        let number = text[..text.len() - unit.len()].trim();
+        let count: u64 = number.parse().map_err(|_| bad())?;
+        count.checked_mul(scale).map(Self).ok_or_else(bad)
+    }
+}
+
+serde_as_text!(ByteSize);
+
+/// A share of a whole, written in per cent: `25%`.
+///
+/// Invariant: between 0 and 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ShareRatio(f64);
+
+impl ShareRatio {
+    /// A share from whole per cent, at most 100.
+    pub fn from_percent(percent: u8) -> Self {
+        Self(f64::from(percent.min(100)) / 100.0)
+    }
+
+    /// The share between 0 and 1.
+    pub fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for ShareRatio {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", (self.0 * 1e6).round() / 1e4)
+    }
+}
+
+impl FromStr for ShareRatio {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        let bad = || ValueError::new(text, "a share in per cent, such as 25%");
+        let number = text.strip_suffix('%').ok_or_else(bad)?;
+        let percent: f64 = number.trim().parse().map_err(|_| bad())?;
+        if (0.0..=100.0).contains(&percent) {
+            Ok(Self(percent / 100.0))
+        } else {
+            Err(bad())
+        }
+    }
+}
+
+serde_as_text!(ShareRatio);
--- /dev/null
+++ b/standins/src/demo.rs
@@ -0,0 +1,323 @@
+//! A whole fleet on threads of one process: serves a chat and runs an order once.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::thread;
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use hawthornrouter::bundle::{ConfigBundle, MANIFEST_KEY};
+use hawthornrouter::client::build_client;
+use hawthornrouter::ids::RevisionNumber;
+use hawthornrouter::locator::{EntryAnswer, serve_locator};
+use hawthornrouter::register::{
+    AccountEntry, AssetRegister, DataCenterEntry, EngineEntry, ModelEntry, ServiceEntry, VmEntry,
+    token_digest,
+};
+use hawthornrouter::router::start_router;
+use hawthornrouter::rules::default_rules;
+use hawthornrouter::settings::{LocatorSettings, LocatorTarget, PeerSeed, RouterSettings};
+use hawthornrouter::units::TimeSpan;
+use ntex::client::{Client, ClientResponse};
+use ntex::rt::{DefaultRuntime, System};
+use ntex::server::Server;
+use serde::Deserialize;
+
+use crate::{config_service, engine, service, vm_list};
+
+const TOKEN: &str = "demo-token";
+const ROUTERS: usize = 2;
+const ENGINES: usize = 3;
+const READY_ATTEMPTS: u32 = 100;
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(100);
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+const ANSWER_BYTES: usize = 1 << 20;
+
+#[derive(Deserialize)]
+struct TicketBody {
+    ticket: String,
+}
+
+/// Starts the fleet, serves the requests and prints what came back.
+pub fn run() -> anyhow::Result<()> {
+    let plan = FleetPlan::new()?;
+    plan.start()?;
+    System::new("caller", DefaultRuntime).block_on(async move { plan.serve().await })
+}
+
+struct FleetPlan {
+    config: SocketAddr,
+    list: SocketAddr,
+    service: SocketAddr,
+    engines: Vec<SocketAddr>,
+    locator: SocketAddr,
+    routers: Vec<RouterSettings>,
+}
+
+impl FleetPlan {
+    fn new() -> anyhow::Result<Self> {
+        let config = free_address()?;
+        let list = free_address()?;
+        let mut routers = Vec::new();
+        for number in 1..=ROUTERS {
+            routers.push(RouterSettings {
+                vm: format!("entry-{number}").parse()?,
+                data_center: "dc-1".parse()?,
+                entry: free_address()?,
+                peer: free_address()?,
+                admin: free_address()?,
+                traffic_threads: 1,
+                config_service: config,
+                vm_list: list,
+                seeds: Vec::new(),
+                fleet_key: "demo-fleet-key".to_owned(),
+                admin_tokens: Vec::new(),
+                metrics: None,
+                drain_limit: TimeSpan::from_millis(5000),
+            });
+        }
+        let seeds: Vec<PeerSeed> = routers
+            .iter()
+            .map(|router| PeerSeed {
+                vm: router.vm.clone(),
+                peer: router.peer,
+            })
+            .collect();
+        for router in &mut routers {
+            router.seeds.clone_from(&seeds);
+        }
+        let engines = (0..ENGINES)
+            .map(|_| free_address())
+            .collect::<Result<_, _>>()?;
+        Ok(Self {
+            config,
+            list,
+            service: free_address()?,
+            engines,
+            locator: free_address()?,
+            routers,
+        })
+    }
+
+    fn start(&self) -> anyhow::Result<()> {
+        let (config, list, service) = (self.config, self.list, self.service);
+        host("config-service", move || config_service::serve(config))?;
+        host("vm-list", move || vm_list::serve(list))?;
+        host("service", move || service::serve(service))?;
+        for &address in &self.engines {
+            host("engine", move || engine::serve(address, 2))?;
+        }
+        for settings in self.routers.clone() {
+            spawn("router", async move || {
+                let _router = start_router(&settings)?;
+                std::future::pending().await
+            })?;
+        }
+        let settings = self.locator_settings();
+        spawn("locator", async move || {
+            serve_locator(settings).await?.await?;
+            Ok(())
+        })
+    }
+
+    fn locator_settings(&self) -> LocatorSettings {
+        let targets = self.routers.iter().map(|router| LocatorTarget {
+            vm: router.vm.clone(),
+            entry: router.entry,
+        });
+        LocatorSettings {
+            vm: self.routers[0].vm.clone(),
+            listen: self.locator,
+            vms: targets.collect(),
+            answer_life: TimeSpan::from_millis(5000),
+        }
+    }
+
+    fn bundle(&self) -> anyhow::Result<ConfigBundle> {
+        let data_center: hawthornrouter::ids::DataCenterId = "dc-1".parse()?;
+        let model: hawthornrouter::ids::ModelId = "lang-1".parse()?;
+        let mut engines = Vec::new();
+        for (index, &address) in self.engines.iter().enumerate() {
+            engines.push(EngineEntry {
+                id: format!("engine-{}", index + 1).parse()?,
+                data_center: data_center.clone(),
+                address,
+                model: model.clone(),
+                slots: 8,
+                checks_fencing: false,
+            });
+        }
+        let vms = self.routers.iter().map(|router| VmEntry {
+            id: router.vm.clone(),
+            data_center: data_center.clone(),
+            entry: router.entry,
+            peer: router.peer,
+            locator: SocketAddr::new(router.entry.ip(), 0),
+        });
+        let mut vms: Vec<VmEntry> = vms.collect();
+        for (index, vm) in vms.iter_mut().enumerate() {
+            vm.locator
+                .set_port(self.locator.port().wrapping_add(index as u16));
+        }
+        let register = AssetRegister {
+            data_centers: vec![DataCenterEntry {
+                id: data_center.clone(),
+                region: "region-1".to_owned(),
+            }],
+            vms,
+            models: vec![ModelEntry { id: model }],
+            engines,
+            services: vec![ServiceEntry {
+                id: "orders".parse()?,
+                addresses: vec![self.service],
+                repeatable: false,
+                checks_fencing: false,
+            }],
+            accounts: vec![AccountEntry {
+                id: "shop-1".parse()?,
+                token_digest: token_digest(TOKEN),
+                weight: 1,
+            }],
+        };
+        Ok(ConfigBundle {
+            revision: RevisionNumber(1),
+            register,
+            rules: default_rules(),
+        })
+    }
+
+    async fn serve(&self) -> anyhow::Result<()> {
+        let client = build_client(CALL_LIMIT, ANSWER_BYTES).await?;
+        self.publish(&client).await?;
+        let entry = self.locate(&client).await?;
+        println!(
+            "locator: use {} at {} for {} ms",
+            entry.vm, entry.address, entry.keep_ms
+        );
+        let answer = text(self.chat(&client, entry.address).await?).await?;
+        println!("chat answer:\n{answer}");
+        if !answer.contains("event: end") {
+            bail!("the answer has no end marker");
+        }
+        self.order(&client).await
+    }
+
+    async fn publish(&self, client: &Client) -> anyhow::Result<()> {
+        let packed = self.bundle()?.pack();
+        let mut values = HashMap::new();
+        for (digest, part) in &packed.parts {
+            values.insert(digest.key(), part.clone());
+        }
+        values.insert(
+            MANIFEST_KEY.to_owned(),
+            serde_json::to_string(&packed.manifest)?,
+        );
+        let url = format!("http://{}/control/publish", self.config);
+        for _ in 0..READY_ATTEMPTS {
+            if client.post(&url).send_json(&values).await.is_ok() {
+                return Ok(());
+            }
+            tokio::time::sleep(ATTEMPT_PAUSE).await;
+        }
+        bail!("the configuration service did not start")
+    }
+
+    async fn locate(&self, client: &Client) -> anyhow::Result<EntryAnswer> {
+        let url = format!("http://{}/v1/entry?chat=chat-1", self.locator);
+        for _ in 0..READY_ATTEMPTS {
+            if let Ok(response) = client.get(&url).send().await
+                && response.status().is_success()
+            {
+                return Ok(serde_json::from_str(&text(response).await?)?);
+            }
+            tokio::time::sleep(ATTEMPT_PAUSE).await;
+        }
+        bail!("no entry VM became ready")
+    }
+
+    async fn chat(&self, client: &Client, entry: SocketAddr) -> anyhow::Result<ClientResponse> {
+        client
+            .post(format!("http://{entry}/v1/chat/completions"))
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .header("x-chat-id", "chat-1")
+            .header("x-rank", "quick")
+            .send_body(r#"{"model":"lang-1","max_tokens":3}"#)
+            .await
+            .map_err(|error| anyhow::anyhow!("chat: {error}"))
+    }
+
+    /// Sends one order through both routers; the service sees it once.
+    async fn order(&self, client: &Client) -> anyhow::Result<()> {
+        let first = self.routers[0].entry;
+        let minted = client
+            .post(format!("http://{first}/v1/services/orders/tickets"))
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .send()
+            .await
+            .map_err(|error| anyhow::anyhow!("ticket: {error}"))?;
+        let ticket: TicketBody = serde_json::from_str(&text(minted).await?)?;
+        for router in &self.routers {
+            let response = client
+                .post(format!("http://{}/v1/services/orders", router.entry))
+                .header("authorization", format!("Bearer {TOKEN}"))
+                .header("x-ticket", ticket.ticket.as_str())
+                .send_body(r#"{"item":"lucky bag refill"}"#)
+                .await
+                .map_err(|error| anyhow::anyhow!("order: {error}"))?;
+            let outcome = response
+                .headers()
+                .get("x-outcome")
+                .and_then(|v| v.to_str().ok());
+            let outcome = outcome.unwrap_or("none").to_owned();
+            let body = text(response).await?;
+            println!("order through {}: outcome={outcome} {body}", router.vm);
+        }
+        let record = client
+            .get(format!("http://{}/record", self.service))
+            .send()
+            .await;
+        let record = record.map_err(|error| anyhow::anyhow!("record: {error}"))?;
+        let calls: Vec<String> = serde_json::from_str(&text(record).await?)?;
+        println!("the service ran {} order(s)", calls.len());
+        if calls.len() != 1 {
+            bail!("the order ran {} times", calls.len());
+        }
+        Ok(())
+    }
+}
+
+async fn text(response: ClientResponse) -> anyhow::Result<String> {
+    let body = response
+        .body()
+        .await
+        .map_err(|error| anyhow::anyhow!("body: {error}"))?;
+    String::from_utf8(body.to_vec()).context("body is not text")
+}
+
+fn free_address() -> std::io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+fn host(
+    name: &str,
+    serve: impl FnOnce() -> anyhow::Result<Server> + Send + 'static,
+) -> anyhow::Result<()> {
+    spawn(name, async move || {
+        serve()?.await?;
+        Ok(())
+    })
+}
+
+fn spawn<F>(name: &str, body: F) -> anyhow::Result<()>
+where
+    F: AsyncFnOnce() -> anyhow::Result<()> + Send + 'static,
+{
+    let role = name.to_owned();
+    thread::Builder::new().name(role.clone()).spawn(move || {
+        if let Err(error) = System::new(&role, DefaultRuntime).block_on(body()) {
+            eprintln!("error: {role}: {error:#}");
+            std::process::exit(1);
+        }
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/tests/fleet/caller.rs
@@ -0,0 +1,210 @@
+//! A caller of a test fleet.
+
+use std::net::SocketAddr;
+
+use ntex::client::Client;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::{MODEL, SERVICE};
+
+/// What a caller got for a chat request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChatAnswer {
+    pub status: u16,
+    pub text: String,
+    pub retry_after: Option<String>,
+}
+
+impl ChatAnswer {
+    /// The data of the answer's own events.
+    pub fn pieces(&self) -> Vec<Value> {
+        let blocks = self
+            .text
+            .split("\n\n")
+            .filter(|block| block.starts_with("id: "));
+        blocks
+            .map(|block| {
+                let data = block.lines().find_map(|line| line.strip_prefix("data: "));
+                serde_json::from_str(data.expect("data")).expect("json")
+            })
+            .collect()
+    }
+
+    /// Whether the answer has its end marker and exactly `events` events of one request, in order.
+    pub fn is_whole(&self, events: u64) -> bool {
+        let end = format!("event: end\ndata: {{\"events\":{events}}}\n\n");
+        let pieces = self.pieces();
+        let tokens: Vec<u64> = pieces
+            .iter()
+            .filter_map(|piece| piece["token"].as_u64())
+            .collect();
+        let first = pieces.first().map(|piece| piece["request"].clone());
+        self.text.ends_with(&end)
+            && tokens == (0..events).collect::<Vec<u64>>()
+            && pieces
+                .iter()
+                .all(|piece| Some(&piece["request"]) == first.as_ref())
+    }
+
+    /// Whether the answer ends with an explicit error.
+    pub fn has_error(&self) -> bool {
+        self.text.contains("event: error\n")
+    }
+
+    /// Whether the caller was told that the request did not run.
+    pub fn is_not_run(&self) -> bool {
+        self.text.contains("\"outcome\":\"not_run\"")
+    }
+}
+
+/// What a caller got for an order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OrderAnswer {
+    pub status: u16,
+    pub outcome: String,
+    pub body: String,
+}
+
+/// What a caller asks of a chat.
+#[derive(Clone, Debug)]
+pub struct ChatAsk {
+    pub chat: String,
+    pub rank: String,
+    pub events: u64,
+    pub fault: Value,
+    pub note: String,
+}
+
+impl ChatAsk {
+    pub fn new(chat: &str, events: u64) -> Self {
+        Self {
+            chat: chat.to_owned(),
+            rank: "quick".to_owned(),
+            events,
+            fault: json!({}),
+            note: String::new(),
+        }
+    }
+
+    pub fn rank(mut self, rank: &str) -> Self {
+        rank.clone_into(&mut self.rank);
+        self
+    }
+
+    pub fn fault(mut self, fault: Value) -> Self {
+        self.fault = fault;
+        self
+    }
+
+    pub fn note(mut self, note: &str) -> Self {
+        note.clone_into(&mut self.note);
+        self
+    }
+}
+
+#[derive(Deserialize)]
+struct TicketBody {
+    ticket: String,
+}
+
+/// A caller with its token.
+#[derive(Clone)]
+pub struct TestCaller {
+    client: Client,
+    token: String,
+}
+
+impl TestCaller {
+    pub fn new(client: Client, token: &str) -> Self {
+        Self {
+            client,
+            token: format!("Bearer {token}"),
+        }
+    }
+
+    /// Sends a chat request and reads the answer to its end.
+    pub async fn chat(&self, entry: SocketAddr, ask: &ChatAsk) -> ChatAnswer {
+        self.try_chat(entry, ask).await.expect("router answers")
+    }
+
+    /// Sends a chat request; none when the router can't be reached or cuts the connection.
+    pub async fn try_chat(&self, entry: SocketAddr, ask: &ChatAsk) -> Option<ChatAnswer> {
+        let body = json!({
+            "model": MODEL, "max_tokens": ask.events, "fault": ask.fault, "note": ask.note,
+        });
+        let response = self
+            .client
+            .post(format!("http://{entry}/v1/chat/completions"))
+            .force_close()
+            .header("authorization", self.token.as_str())
+            .header("x-chat-id", ask.chat.as_str())
+            .header("x-rank", ask.rank.as_str())
+            .send_body(body.to_string())
+            .await
+            .ok()?;
+        let status = response.status().as_u16();
+        let retry_after = response.headers().get("retry-after");
+        let retry_after = retry_after
+            .and_then(|value| value.to_str().ok())
+            .map(ToOwned::to_owned);
+        let text = response.body().await.ok()?;
+        Some(ChatAnswer {
+            status,
+            text: String::from_utf8(text.to_vec()).expect("text"),
+            retry_after,
+        })
+    }
+
+    /// Gets a ticket.
+    pub async fn ticket(&self, entry: SocketAddr) -> String {
+        let response = self
+            .client
+            .post(format!("http://{entry}/v1/services/{SERVICE}/tickets"))
+            .force_close()
+            .header("authorization", self.token.as_str())
+            .send()
+            .await
+            .expect("router answers");
+        let body = response.body().await.expect("body");
+        let minted: TicketBody = serde_json::from_slice(&body).expect("ticket");
+        minted.ticket
+    }
+
+    /// Sends an order under a ticket.
+    pub async fn order(&self, entry: SocketAddr, ticket: &str, body: &str) -> OrderAnswer {
+        self.try_order(entry, ticket, body)
+            .await
+            .expect("router answers")
+    }
+
+    /// Sends an order; none when the router can't be reached or cuts the connection.
+    pub async fn try_order(
+        &self,
+        entry: SocketAddr,
+        ticket: &str,
+        body: &str,
+    ) -> Option<OrderAnswer> {
+        let response = self
+            .client
+            .post(format!("http://{entry}/v1/services/{SERVICE}"))
+            .force_close()
+            .header("authorization", self.token.as_str())
+            .header("x-ticket", ticket)
+            .send_body(body.to_owned())
+            .await
+            .ok()?;
+        let status = response.status().as_u16();
+        let outcome = response.headers().get("x-outcome");
+        let outcome = outcome
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("none")
+            .to_owned();
+        let body = response.body().await.ok()?;
+        Some(OrderAnswer {
+            status,
+            outcome,
+            body: String::from_utf8(body.to_vec()).expect("text"),
+        })
+    }
+}
