Measure ranks, floods, load bound and reuse on virtual time, with baselines beside

Cause: the decisions had no measurement. hawthorn-bench runs the routers' own scheduler over small model engines, seeded, and prints one line of JSON with bounds from the stated targets.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! `upstream`, `peer`, `platform` and `admin` translate between the wire and the decisions.
 
 pub mod admin;
+pub mod bench;
 pub mod board;
 pub mod bundle;
 pub mod client;
