--- a/src/bench/baseline_policy.rs
+++ b/src/bench/baseline_policy.rs
@@ -107,6 +107,10 @@
         Vec::new()
     }
 
+    fn preempted(&mut self, _: MonoTime, _: RouterIndex, _: RequestKey) -> Vec<PolicyAction> {
+        Vec::new()
+    }
+
     fn deliver(
         &mut self,
         _: MonoTime,
--- a/src/bench/engine_model.rs
+++ b/src/bench/engine_model.rs
@@ -51,6 +51,15 @@
     pub priority: u8,
 }
 
+/// What is left of a request that was stopped.
+#[derive(Clone, Copy, Debug)]
+pub struct StoppedJob {
+    /// Tokens before the place at which it goes on.
+    pub prompt: u32,
+    /// Tokens that it has yet to make.
+    pub answer: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct RunningJob {
     job: EngineJob,
@@ -139,6 +148,23 @@
         ended.into_iter().map(|job| job.request).collect()
     }
 
+    /// Stops a request and keeps what it made in the cache. Gives the tokens that are left; none
+    /// when it does not run here.
+    pub fn cancel(&mut self, now: MonoTime, request: RequestKey) -> Option<StoppedJob> {
+        self.advance(now);
+        let position = self
+            .running
+            .iter()
+            .position(|running| running.job.request == request)?;
+        let stopped = self.running.swap_remove(position);
+        let left = (stopped.ends - self.progress).max(0.0);
+        let answer = (left.ceil() as u32).clamp(1, stopped.job.answer);
+        let prompt = stopped.job.prompt + (stopped.job.answer - answer);
+        self.cache.keep(stopped.job.chat, prompt);
+        self.fill();
+        Some(StoppedJob { prompt, answer })
+    }
+
     /// Drops everything, as an engine that dies does.
     pub fn clear(&mut self, now: MonoTime) -> Vec<RequestKey> {
         self.advance(now);
--- a/src/bench/fleet_policy.rs
+++ b/src/bench/fleet_policy.rs
@@ -28,6 +28,11 @@
         /// The engine.
         engine: EngineKey,
     },
+    /// Stop a running request, keeping its place in the answer.
+    Preempt {
+        /// The request.
+        request: RequestKey,
+    },
     /// Refuse a request.
     Refuse {
         /// The request.
@@ -73,6 +78,14 @@
         request: RequestKey,
     ) -> Vec<PolicyAction>;
 
+    /// A request that was to stop has given its slot up.
+    fn preempted(
+        &mut self,
+        now: MonoTime,
+        router: RouterIndex,
+        request: RequestKey,
+    ) -> Vec<PolicyAction>;
+
     /// A message reaches a router.
     fn deliver(
         &mut self,
--- a/src/bench/fleet_sim.rs
+++ b/src/bench/fleet_sim.rs
@@ -83,7 +83,7 @@
     }
 
     fn cached(&self, engine: EngineKey, item: &WorkItem) -> u32 {
-        let prompt = self.prompts[item.request.0 as usize];
+        let prompt = self.prompts[index_of(item.request)];
         let cached = self
             .engines
             .get(&engine)
@@ -183,9 +183,10 @@
         for action in actions {
             match action {
                 PolicyAction::Run { request, engine } => self.start(now, request, engine),
+                PolicyAction::Preempt { request } => self.preempt(now, request),
                 PolicyAction::Refuse { request, refusal } => {
                     let at = now;
-                    self.end(request, RequestEnd::Refused { at, refusal });
+                    self.end(now, request, RequestEnd::Refused { at, refusal });
                 }
                 PolicyAction::Send { from, to, body } => self.send(now, from, to, body),
             }
@@ -193,7 +194,7 @@
     }
 
     fn start(&mut self, now: MonoTime, request: RequestKey, engine: EngineKey) {
-        let sim = &self.requests[request.0 as usize];
+        let sim = &self.requests[index_of(request)];
         let (chat, router) = (sim.item.chat, sim.router);
         let job = EngineJob {
             request,
@@ -202,21 +203,41 @@
             answer: sim.answer,
             priority: sim.item.rank.engine_priority(),
         };
-        let record = &mut self.record.requests[request.0 as usize];
-        record.started = Some(now);
-        record.engine = Some(engine);
+        self.record.start(index_of(request), now, engine);
         let alive = self.fleet.alive.contains(&engine);
         let Some(model) = self.fleet.engines.get_mut(&engine).filter(|_| alive) else {
             // The router believes in an engine that is gone.
-            self.end(request, RequestEnd::Lost(now));
+            self.end(now, request, RequestEnd::Lost(now));
             let actions = self.policy.finish(now, router, request);
             return self.carry_out(now, actions);
         };
-        record.cached = model.submit(now, job);
+        let cached = model.submit(now, job);
+        let record = &mut self.record.requests[index_of(request)];
+        if record.stints == 1 {
+            record.cached = cached;
+        }
         self.note_admission(now, engine, chat.0);
         self.plan_wake(engine);
     }
 
+    fn preempt(&mut self, now: MonoTime, request: RequestKey) {
+        let index = index_of(request);
+        let Some(engine) = self.record.requests[index].engine else {
+            return;
+        };
+        let model = self.fleet.engines.get_mut(&engine);
+        let Some(stopped) = model.and_then(|model| model.cancel(now, request)) else {
+            return;
+        };
+        self.plan_wake(engine);
+        self.requests[index].prompt = stopped.prompt;
+        self.requests[index].answer = stopped.answer;
+        self.record.pause(index, now);
+        let router = self.requests[index].router;
+        let actions = self.policy.preempted(now, router, request);
+        self.carry_out(now, actions);
+    }
+
     fn note_admission(&mut self, now: MonoTime, engine: EngineKey, chat: u64) {
         let alive = &self.fleet.alive;
         let total: u32 = alive.iter().map(|&key| self.fleet.load(key)).sum();
@@ -252,8 +273,8 @@
 
     fn finish_all(&mut self, now: MonoTime, ended: Vec<RequestKey>, end: RequestEnd) {
         for request in ended {
-            self.end(request, end);
-            let router = self.requests[request.0 as usize].router;
+            self.end(now, request, end);
+            let router = self.requests[index_of(request)].router;
             let actions = self.policy.finish(now, router, request);
             self.carry_out(now, actions);
         }
@@ -286,15 +307,18 @@
         }
     }
 
-    fn end(&mut self, request: RequestKey, end: RequestEnd) {
-        let record = &mut self.record.requests[request.0 as usize];
-        if record.end == RequestEnd::Open {
-            record.end = end;
+    fn end(&mut self, now: MonoTime, request: RequestKey, end: RequestEnd) {
+        if self.record.finish(index_of(request), now, end) {
             self.open -= 1;
         }
     }
 }
 
+/// Position of a request in its workload; requests are numbered from 1.
+fn index_of(request: RequestKey) -> usize {
+    request.0 as usize - 1
+}
+
 fn open_record(request: &SimRequest) -> RequestRecord {
     RequestRecord {
         rank: request.item.rank,
@@ -305,6 +329,8 @@
         cached: 0,
         engine: None,
         started: None,
+        since: request.item.accepted,
+        stints: 0,
         end: RequestEnd::Open,
     }
 }
--- a/src/bench/flood.rs
+++ b/src/bench/flood.rs
@@ -70,18 +70,21 @@
         from: FLOOD_START,
         to: FLOOD_END,
     });
-    WorkloadPlan::plain(loads, setup.routers)
+    WorkloadPlan::plain(loads, setup)
 }
 
-/// The lowest share of its floor that a rank held in any window of the flood.
+/// The lowest share of its floor that a rank held in any window of the flood. A rank that asked
+/// for less than its floor in a window is judged by what it asked for.
 fn worst_floor(record: &RunRecord, setup: &FleetSetup, rank: WorkRank) -> f64 {
     let floor = setup.rules.ranks.of(rank).floor.get() * f64::from(setup.slots());
     let windows = ((FLOOD_END - FLOOD_START) / FLOOR_WINDOW) as u32;
-    let held = (0..windows).map(|window| {
+    let kept = (0..windows).map(|window| {
         let from = FLOOD_START + f64::from(window) * FLOOR_WINDOW;
-        record.mean_slots(rank, from, from + FLOOR_WINDOW) / floor
+        let held = record.mean_slots(rank, from, from + FLOOR_WINDOW);
+        let asked = held + record.mean_waiting(rank, from, from + FLOOR_WINDOW);
+        held / floor.min(asked).max(1e-9)
     });
-    held.fold(f64::INFINITY, f64::min)
+    kept.fold(f64::INFINITY, f64::min)
 }
 
 /// How much slower quick questions are in the flood than before it, at 99 in 100.
--- a/src/bench/hawthorn_policy.rs
+++ b/src/bench/hawthorn_policy.rs
@@ -4,17 +4,20 @@
 use std::time::Duration;
 
 use crate::bench::fleet_policy::{FleetPolicy, FleetTruth, PolicyAction, RouterIndex};
-use crate::ids::{EngineKey, RequestKey};
+use crate::ids::{EngineKey, ModelKey, RequestKey};
 use crate::mono::MonoTime;
 use crate::policy::request_scheduler::{PoolEngine, RequestScheduler, SchedulerStep};
-use crate::policy::slot_steward::{EngineLoad, SlotAnswer};
+use crate::policy::slot_steward::EngineLoad;
+use crate::policy::slot_waiters::SlotWaiter;
 use crate::policy::work_item::WorkItem;
 use crate::rules::RuleBook;
-use crate::wire::{FleetDigest, LoadEntry, PeerBody, SlotAsk, SlotRelease, SlotReply};
-use crate::wire_convert::rank_from_wire;
+use crate::wire::{FleetDigest, LoadEntry, PeerBody};
+use crate::wire_convert::{
+    AddressedMessage, kind_from_wire, rank_from_wire, slot_reply, step_message,
+};
 
 /// Time between two digests of a router.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+const DIGEST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Schedulers of a fleet.
 pub struct HawthornPolicy {
@@ -44,12 +47,6 @@
         &self.routers[router.0]
     }
 
-    fn index_of(&self, vm: crate::ids::VmKey) -> Option<RouterIndex> {
-        (0..self.routers.len())
-            .map(RouterIndex)
-            .find(|index| index.vm() == vm)
-    }
-
     fn pump(&mut self, now: MonoTime, router: RouterIndex) -> Vec<PolicyAction> {
         let steps = self.routers[router.0].poll(now);
         self.actions(router, steps)
@@ -58,39 +55,39 @@
     fn actions(&self, from: RouterIndex, steps: Vec<SchedulerStep>) -> Vec<PolicyAction> {
         steps
             .into_iter()
-            .filter_map(|step| self.action(from, step))
+            .flat_map(|step| self.action(from, step))
             .collect()
     }
 
-    fn action(&self, from: RouterIndex, step: SchedulerStep) -> Option<PolicyAction> {
-        let send = |to, body| PolicyAction::Send { from, to, body };
-        Some(match step {
-            SchedulerStep::Run { item, engine } => PolicyAction::Run {
+    fn action(&self, from: RouterIndex, step: SchedulerStep) -> Vec<PolicyAction> {
+        if let Some(message) = step_message(&self.routers[from.0], &step) {
+            return self.sends(from, &message);
+        }
+        match step {
+            SchedulerStep::Run { item, engine } => vec![PolicyAction::Run {
                 request: item.request,
                 engine,
-            },
-            SchedulerStep::Refuse { item, refusal } => PolicyAction::Refuse {
+            }],
+            SchedulerStep::Preempt { request } => vec![PolicyAction::Preempt { request }],
+            SchedulerStep::Refuse { item, refusal } => vec![PolicyAction::Refuse {
                 request: item.request,
                 refusal,
-            },
-            SchedulerStep::Ask {
-                request,
-                rank,
-                engine,
-                steward,
-            } => {
-                let ask = SlotAsk {
-                    request: request.0,
-                    engine: engine.0,
-                    rank: rank.index() as u32,
-                };
-                send(self.index_of(steward)?, PeerBody::SlotAsk(ask))
-            }
-            SchedulerStep::Release { engine, steward } => {
-                let release = SlotRelease { engine: engine.0 };
-                send(self.index_of(steward)?, PeerBody::SlotRelease(release))
-            }
+            }],
+            _ => Vec::new(),
+        }
+    }
+
+    fn sends(&self, from: RouterIndex, message: &AddressedMessage) -> Vec<PolicyAction> {
+        let everyone = (0..self.routers.len())
+            .map(RouterIndex)
+            .filter(|&to| to != from);
+        let to = everyone.filter(|to| message.to.is_none_or(|vm| vm == to.vm()));
+        to.map(|to| PolicyAction::Send {
+            from,
+            to,
+            body: message.body.clone(),
         })
+        .collect()
     }
 
     fn digests(&self) -> Vec<PolicyAction> {
@@ -104,6 +101,7 @@
                 revision: 1 << 20,
                 loads: loads.collect(),
                 reports: Vec::new(),
+                waiting: router.waiting_total(),
             };
             let others = (0..self.routers.len())
                 .map(RouterIndex)
@@ -145,6 +143,18 @@
         actions
     }
 
+    fn preempted(
+        &mut self,
+        now: MonoTime,
+        router: RouterIndex,
+        request: RequestKey,
+    ) -> Vec<PolicyAction> {
+        let released = self.routers[router.0].preempted(now, request);
+        let mut actions = self.actions(router, released.into_iter().collect());
+        actions.extend(self.pump(now, router));
+        actions
+    }
+
     fn deliver(
         &mut self,
         now: MonoTime,
@@ -157,34 +167,40 @@
         match body {
             PeerBody::SlotAsk(ask) => {
                 let engine = EngineKey(ask.engine);
-                let answer = scheduler.grant(now, from.vm(), engine, rank_from_wire(ask.rank));
-                let reply = SlotReply {
-                    request: ask.request,
-                    engine: ask.engine,
-                    granted: answer == SlotAnswer::Granted,
+                scheduler.announced_beside(from.vm(), engine, ask.total);
+                let waiter = SlotWaiter {
+                    router: from.vm(),
+                    rank: rank_from_wire(ask.rank),
                 };
-                actions.push(PolicyAction::Send {
-                    from: to,
-                    to: from,
-                    body: PeerBody::SlotReply(reply),
-                });
+                if let Some(answer) = scheduler.grant(now, engine, waiter, ask.wait) {
+                    let total = scheduler.own_total(engine);
+                    let reply = slot_reply(RequestKey(ask.request), engine, answer, total);
+                    actions.push(PolicyAction::Send {
+                        from: to,
+                        to: from,
+                        body: PeerBody::SlotReply(reply),
+                    });
+                }
             }
             PeerBody::SlotReply(reply) => {
-                let answer = if reply.granted {
-                    SlotAnswer::Granted
-                } else {
-                    SlotAnswer::Full
-                };
                 let (request, engine) = (RequestKey(reply.request), EngineKey(reply.engine));
-                let steps = scheduler.answer(now, request, engine, answer);
+                scheduler.announced_beside(from.vm(), engine, reply.total);
+                let steps = scheduler.answer(now, request, engine, reply.into());
                 actions.extend(self.actions(to, steps));
             }
             PeerBody::SlotRelease(release) => {
-                scheduler.released(now, from.vm(), EngineKey(release.engine));
+                let engine = EngineKey(release.engine);
+                scheduler.announced_beside(from.vm(), engine, release.total);
+                scheduler.released(now, from.vm(), engine, kind_from_wire(release.headroom));
             }
             PeerBody::Digest(digest) => {
                 let loads: Vec<EngineLoad> = digest.loads.iter().map(|&load| load.into()).collect();
                 scheduler.report(now, from.vm(), &loads);
+                scheduler.heard_waiting(from.vm(), digest.waiting);
+            }
+            PeerBody::LoadTotal(total) => {
+                scheduler.announced(from.vm(), ModelKey(total.model), total.running);
+                scheduler.heard_waiting(from.vm(), total.waiting);
             }
             _ => {}
         }
--- a/src/bench/load_bound.rs
+++ b/src/bench/load_bound.rs
@@ -55,7 +55,7 @@
         from: 0.0,
         to: LENGTH,
     });
-    let mut plan = WorkloadPlan::plain(loads.to_vec(), setup.routers);
+    let mut plan = WorkloadPlan::plain(loads.to_vec(), setup);
     plan.mix = ChatMix {
         chats: 2000,
         skew: 0.8,
@@ -94,16 +94,17 @@
     );
 }
 
-/// One router misses one engine for the whole run. The excess is bounded by the share that
-/// differs: what the others may hold beyond their part when they miss a share of the list.
+/// One router holds one engine for closed for the whole run. The excess is bounded by the share
+/// that differs: what the others may hold beyond their part when they miss a share of the list.
 fn disagree(
     report: &mut ScenarioReport,
     setup: &FleetSetup,
     name: &str,
     requests: Vec<SimRequest>,
 ) {
-    let pool = setup.pool();
-    let short: Rc<[PoolEngine]> = pool[1..].into();
+    let mut pool = setup.pool();
+    pool[0].open = false;
+    let short: Rc<[PoolEngine]> = pool.into();
     let change = TimedChange {
         at: MonoTime(Duration::ZERO),
         change: FleetChange::Seen {
--- a/src/bench/oracle_policy.rs
+++ b/src/bench/oracle_policy.rs
@@ -88,6 +88,10 @@
         Vec::new()
     }
 
+    fn preempted(&mut self, _: MonoTime, _: RouterIndex, _: RequestKey) -> Vec<PolicyAction> {
+        Vec::new()
+    }
+
     fn deliver(
         &mut self,
         _: MonoTime,
--- a/src/bench/ranks.rs
+++ b/src/bench/ranks.rs
@@ -48,7 +48,7 @@
         from: 0.0,
         to: LENGTH,
     });
-    WorkloadPlan::plain(loads.to_vec(), setup.routers)
+    WorkloadPlan::plain(loads.to_vec(), setup)
 }
 
 fn judge(report: &mut ScenarioReport, setup: &FleetSetup, percent: u32, record: &RunRecord) {
--- a/src/bench/reuse.rs
+++ b/src/bench/reuse.rs
@@ -107,6 +107,7 @@
         },
         accounts: accounts.collect(),
         routers: setup.routers,
+        engines: setup.pool().iter().map(|engine| engine.key).collect(),
     }
 }
 
@@ -133,10 +134,8 @@
     let without = pool_without(setup, key);
     let whole: Rc<[PoolEngine]> = setup.pool().into();
     let mut push = |seconds, change| {
-        changes.push(TimedChange {
-            at: at(seconds),
-            change,
-        })
+        let at = at(seconds);
+        changes.push(TimedChange { at, change });
     };
     push(gone, FleetChange::Gone(key));
     push(back, FleetChange::Back(key));
--- a/src/bench/run_record.rs
+++ b/src/bench/run_record.rs
@@ -42,8 +42,12 @@
     pub cached: u32,
     /// The engine that ran it.
     pub engine: Option<EngineKey>,
-    /// When it was sent to its engine.
+    /// When it first got a slot.
     pub started: Option<MonoTime>,
+    /// When it last began to wait or to run.
+    pub since: MonoTime,
+    /// How often it got a slot.
+    pub stints: u32,
     /// How it ended.
     pub end: RequestEnd,
 }
@@ -58,6 +62,17 @@
     }
 }
 
+/// A stretch of time that a request waited or held a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct RankSpan {
+    /// Its rank.
+    pub rank: WorkRank,
+    /// When it began.
+    pub from: MonoTime,
+    /// When it ended.
+    pub to: MonoTime,
+}
+
 /// Traffic between routers, seen from one of them.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RouterTraffic {
@@ -87,6 +102,10 @@
     pub requests: Vec<RequestRecord>,
     /// Traffic by router.
     pub traffic: Vec<RouterTraffic>,
+    /// Stretches of waiting that ended with a slot.
+    pub waits: Vec<RankSpan>,
+    /// Stretches of holding a slot.
+    pub stints: Vec<RankSpan>,
     /// Admissions in order.
     pub admissions: Vec<AdmissionLoad>,
     /// End of the run.
@@ -131,11 +150,42 @@
 
     /// Slots that a rank held on average between two seconds.
     pub fn mean_slots(&self, rank: WorkRank, from: f64, to: f64) -> f64 {
-        let of_rank = self.requests.iter().filter(|request| request.rank == rank);
-        let held: f64 = of_rank
-            .map(|request| request.overlap(from, to, self.end))
-            .sum();
-        held / (to - from)
+        mean_count(&self.stints, rank, from, to)
+    }
+
+    /// Requests of a rank that waited on average between two seconds and were served later.
+    pub fn mean_waiting(&self, rank: WorkRank, from: f64, to: f64) -> f64 {
+        mean_count(&self.waits, rank, from, to)
+    }
+
+    /// Notes that a request got a slot.
+    pub fn start(&mut self, index: usize, now: MonoTime, engine: EngineKey) {
+        let record = &mut self.requests[index];
+        self.waits.push(record.span(now));
+        record.since = now;
+        record.started.get_or_insert(now);
+        record.engine = Some(engine);
+        record.stints += 1;
+    }
+
+    /// Notes that a request gave its slot up and waits again.
+    pub fn pause(&mut self, index: usize, now: MonoTime) {
+        let record = &mut self.requests[index];
+        self.stints.push(record.span(now));
+        record.since = now;
+    }
+
+    /// Notes the end of a request; false when it had ended before.
+    pub fn finish(&mut self, index: usize, now: MonoTime, end: RequestEnd) -> bool {
+        let record = &mut self.requests[index];
+        if record.end != RequestEnd::Open {
+            return false;
+        }
+        record.end = end;
+        if matches!(end, RequestEnd::Done(_) | RequestEnd::Lost(_)) {
+            self.stints.push(record.span(now));
+        }
+        true
     }
 
     /// Bytes a second of the busiest router.
@@ -151,18 +201,24 @@
 }
 
 impl RequestRecord {
-    fn overlap(&self, from: f64, to: f64, end: MonoTime) -> f64 {
-        let Some(started) = self.started else {
-            return 0.0;
-        };
-        let ended = match self.end {
-            RequestEnd::Done(at) | RequestEnd::Lost(at) => at,
-            RequestEnd::Open | RequestEnd::Refused { .. } => end,
-        };
-        (ended.0.as_secs_f64().min(to) - started.0.as_secs_f64().max(from)).max(0.0)
+    fn span(&self, to: MonoTime) -> RankSpan {
+        RankSpan {
+            rank: self.rank,
+            from: self.since,
+            to,
+        }
     }
 }
 
+fn mean_count(spans: &[RankSpan], rank: WorkRank, from: f64, to: f64) -> f64 {
+    let of_rank = spans.iter().filter(|span| span.rank == rank);
+    let overlap = of_rank.map(|span| {
+        let start = span.from.0.as_secs_f64().max(from);
+        (span.to.0.as_secs_f64().min(to) - start).max(0.0)
+    });
+    overlap.sum::<f64>() / (to - from)
+}
+
 /// The value below which `share` of the values lie; zero for none.
 pub fn quantile(mut values: Vec<f64>, share: f64) -> f64 {
     if values.is_empty() {
--- a/src/bench/workload.rs
+++ b/src/bench/workload.rs
@@ -6,10 +6,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::bench::fleet_policy::RouterIndex;
-use crate::bench::setup::{PLAIN_PROMPT, SIM_MODEL, answer_tokens};
-use crate::ids::{AccountKey, ChatKey, RequestKey, VmKey};
+use crate::bench::setup::{FleetSetup, PLAIN_PROMPT, SIM_MODEL, answer_tokens};
+use crate::ids::{AccountKey, ChatKey, EngineKey, RequestKey, VmKey};
 use crate::mono::MonoTime;
 use crate::policy::placement::rendezvous_first;
+use crate::policy::steward_map::StewardMap;
 use crate::policy::work_item::WorkItem;
 use crate::rules::WorkRank;
 
@@ -76,11 +77,13 @@
     pub accounts: Vec<AccountLoad>,
     /// Routers that callers are told of.
     pub routers: usize,
+    /// Engines that chats have as their homes.
+    pub engines: Vec<EngineKey>,
 }
 
 impl WorkloadPlan {
     /// Arrivals over ten equal accounts and chats that hardly return.
-    pub fn plain(loads: Vec<RankLoad>, routers: usize) -> Self {
+    pub fn plain(loads: Vec<RankLoad>, setup: &FleetSetup) -> Self {
         let accounts = (0..10).map(|number| AccountLoad {
             account: AccountKey(number),
             part: 1.0,
@@ -93,7 +96,8 @@
                 grows: false,
             },
             accounts: accounts.collect(),
-            routers,
+            routers: setup.routers,
+            engines: setup.pool().iter().map(|engine| engine.key).collect(),
         }
     }
 
@@ -105,6 +109,7 @@
         let chats = ChatPicker::new(self.mix);
         let mut contexts = vec![0_u32; if self.mix.grows { self.mix.chats } else { 0 }];
         let routers: Vec<VmKey> = (0..self.routers).map(|i| RouterIndex(i).vm()).collect();
+        let stewards = StewardMap::new(self.engines.iter().copied(), &routers);
         let mut requests = Vec::with_capacity(arrivals.len());
         for (index, arrival) in arrivals.into_iter().enumerate() {
             let number = chats.pick(&mut rng);
@@ -114,13 +119,10 @@
                 Some(context) => grow(context, answer),
                 None => PLAIN_PROMPT,
             };
-            let home = rendezvous_first(chat.0, routers.iter().copied());
-            let router = (0..self.routers)
-                .map(RouterIndex)
-                .find(|r| Some(r.vm()) == home);
+            let router = home_router(chat, &self.engines, &stewards, &routers);
             requests.push(SimRequest {
                 item: WorkItem {
-                    request: RequestKey(index as u64),
+                    request: RequestKey(1 + index as u64),
                     account: self.pick_account(&mut rng),
                     weight: 1,
                     rank: arrival.rank,
@@ -129,8 +131,11 @@
                     cost: u64::from(prompt / 20 + answer),
                     accepted: arrival.at,
                     avoid: None,
+                    pinned: None,
+                    preemptions: 0,
+                    served: Duration::ZERO,
                 },
-                router: router.unwrap_or(RouterIndex(0)),
+                router,
                 prompt,
                 answer,
             });
@@ -186,6 +191,19 @@
     prompt
 }
 
+/// The router that a locator names for a chat: the steward of the chat's home engine.
+fn home_router(
+    chat: ChatKey,
+    engines: &[EngineKey],
+    stewards: &StewardMap,
+    routers: &[VmKey],
+) -> RouterIndex {
+    let home = rendezvous_first(chat.0, engines.iter().copied());
+    let steward = home.and_then(|home| stewards.steward_of(home));
+    let position = routers.iter().position(|&router| Some(router) == steward);
+    RouterIndex(position.unwrap_or(0))
+}
+
 /// Draws chats by popularity.
 struct ChatPicker {
     /// Summed weights; empty when all chats are equally popular.
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -1,5 +1,14 @@
 //! What the binaries share: the log, the runtime, exit codes.
 
+mod admin_call;
+mod check;
+pub mod ctl;
+mod diff;
+mod drain;
+mod explain;
+mod pack;
+pub mod status;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -8,6 +17,9 @@
 use crate::error::{RouterError, RouterResult};
 use crate::log;
 
+/// Exit code after a panic.
+const EXIT_PANIC: i32 = 1;
+
 /// Prints an error and turns the result into an exit code: 0, 1 (failed) or 2 (usage).
 pub fn exit_code(result: RouterResult<()>) -> ExitCode {
     match result {
@@ -25,9 +37,19 @@
     F: AsyncFnOnce() -> RouterResult<()> + 'static,
 {
     log::init(spdlog::LevelFilter::MoreSevereEqual(spdlog::Level::Info));
+    end_on_panic();
     System::new(name, DefaultRuntime).block_on(body())
 }
 
+/// Ends the process when any of its threads panics: a router without its control thread would take
+/// requests and never answer.
+fn end_on_panic() {
+    std::panic::set_hook(Box::new(|info| {
+        spdlog::critical!("panic", kv: { place: = info });
+        std::process::exit(EXIT_PANIC);
+    }));
+}
+
 /// The settings file of a service, or none after its version was printed.
 pub fn settings_or_version(
     version: bool,
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -17,21 +17,22 @@
 use crate::control::work_controller::WorkController;
 use crate::fleet::config_state::ManifestVerdict;
 use crate::fleet::wake_guard::{NewsKind, WakeGuard};
-use crate::ids::{EngineKey, RequestKey, VmId, VmKey};
+use crate::ids::{EngineKey, ModelKey, RequestKey, VmId, VmKey};
 use crate::mono::{MonoTime, ProcessClock};
 use crate::peer::{PeerEvent, PeerMailbox, PeerName};
 use crate::policy::refusal::RefusalReason;
 use crate::policy::retry_budget::RetryBudget;
-use crate::policy::slot_steward::{EngineLoad, SlotAnswer};
+use crate::policy::slot_steward::EngineLoad;
+use crate::policy::slot_waiters::SlotWaiter;
 use crate::rules::RuleBook;
 use crate::wire::{DigestPong, FleetDigest, LoadEntry, PeerBody, SlotAsk, SlotReply};
-use crate::wire_convert::rank_from_wire;
+use crate::wire_convert::{kind_from_wire, rank_from_wire, slot_reply};
 
 /// Time between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time between two digests to peers.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+const DIGEST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time between two writes of the status section.
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
@@ -180,6 +181,11 @@
             } => {
                 self.finish(now, request, engine, answered);
             }
+            ControlEvent::Yield { request, reply } => {
+                self.parts
+                    .work
+                    .yielded(now, request, reply, &self.parts.peers);
+            }
             ControlEvent::Cancel(request) => self.parts.work.cancel(request),
             ControlEvent::Retry(reply) => {
                 let _ = reply.send(self.parts.work.retries.spend());
@@ -307,10 +313,23 @@
                 self.guard.news(NewsKind::Revision, opened);
             }
             PeerBody::SlotAsk(ask) => self.slot_ask(now, peer, ask, mailbox),
-            PeerBody::SlotReply(reply) => self.slot_reply(now, reply),
+            PeerBody::SlotReply(reply) => self.slot_reply(now, peer, reply),
             PeerBody::SlotRelease(release) => {
                 let engine = EngineKey(release.engine);
-                self.parts.work.scheduler.released(now, peer, engine);
+                self.parts
+                    .work
+                    .scheduler
+                    .announced_beside(peer, engine, release.total);
+                let kind = kind_from_wire(release.headroom);
+                self.parts.work.scheduler.released(now, peer, engine, kind);
+            }
+            PeerBody::LoadTotal(total) => {
+                let model = ModelKey(total.model);
+                self.parts
+                    .work
+                    .scheduler
+                    .announced(peer, model, total.running);
+                self.parts.work.scheduler.heard_waiting(peer, total.waiting);
             }
             PeerBody::CallAsk(ask) => {
                 if !self.guard.holds(now) {
@@ -363,6 +382,10 @@
         self.parts.config.peer_has(peer, revision, mailbox);
         let loads: Vec<EngineLoad> = digest.loads.iter().map(|&load| load.into()).collect();
         self.parts.work.scheduler.report(now, peer, &loads);
+        self.parts
+            .work
+            .scheduler
+            .heard_waiting(peer, digest.waiting);
         for entry in digest.reports {
             self.parts.upstreams.peer_report(now, entry);
         }
@@ -374,29 +397,38 @@
             return;
         }
         let engine = EngineKey(ask.engine);
-        let rank = rank_from_wire(ask.rank);
-        let answer = self.parts.work.scheduler.grant(now, peer, engine, rank);
-        let reply = SlotReply {
-            request: ask.request,
-            engine: ask.engine,
-            granted: answer == SlotAnswer::Granted,
+        self.parts
+            .work
+            .scheduler
+            .announced_beside(peer, engine, ask.total);
+        let waiter = SlotWaiter {
+            router: peer,
+            rank: rank_from_wire(ask.rank),
         };
-        let _ = mailbox.send(PeerBody::SlotReply(reply));
+        let answer = self
+            .parts
+            .work
+            .scheduler
+            .grant(now, engine, waiter, ask.wait);
+        if let Some(answer) = answer {
+            let total = self.parts.work.scheduler.own_total(engine);
+            let reply = slot_reply(RequestKey(ask.request), engine, answer, total);
+            let _ = mailbox.send(PeerBody::SlotReply(reply));
+        }
     }
 
-    fn slot_reply(&mut self, now: MonoTime, reply: SlotReply) {
-        let answer = if reply.granted {
-            SlotAnswer::Granted
-        } else {
-            SlotAnswer::Full
-        };
+    fn slot_reply(&mut self, now: MonoTime, peer: VmKey, reply: SlotReply) {
         let request = RequestKey(reply.request);
         let engine = EngineKey(reply.engine);
+        self.parts
+            .work
+            .scheduler
+            .announced_beside(peer, engine, reply.total);
         let steps = self
             .parts
             .work
             .scheduler
-            .answer(now, request, engine, answer);
+            .answer(now, request, engine, reply.into());
         self.parts.work.carry_out(now, steps, &self.parts.peers);
     }
 
@@ -426,6 +458,7 @@
             revision: self.parts.config.state().revision().0,
             loads: loads.into_iter().map(LoadEntry::from).collect(),
             reports: self.parts.upstreams.reports(now),
+            waiting: self.parts.work.scheduler.waiting_total(),
         };
         self.parts.peers.send_digest(digest);
     }
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -1,11 +1,12 @@
 //! What the control thread is told and asked.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::bundle::{ConfigManifest, PartStore};
 use crate::fleet::config_state::ManifestVerdict;
@@ -34,6 +35,8 @@
 pub struct WorkOffer {
     /// The request.
     pub item: WorkItem,
+    /// Notified when it is to give its slot up to more urgent work.
+    pub stop: Arc<Notify>,
     /// Where the verdict goes.
     pub reply: oneshot::Sender<WorkVerdict>,
 }
@@ -172,6 +175,13 @@
         /// Whether the engine answered as it should.
         answered: bool,
     },
+    /// A request that was to stop has given its slot up and waits for its engine.
+    Yield {
+        /// The request.
+        request: RequestKey,
+        /// Where the next verdict goes.
+        reply: oneshot::Sender<WorkVerdict>,
+    },
     /// The caller of a waiting request left.
     Cancel(RequestKey),
     /// An attempt failed; may there be another?
--- a/src/control/peer_controller.rs
+++ b/src/control/peer_controller.rs
@@ -74,13 +74,16 @@
     pub fn up(&mut self, name: &PeerName, mailbox: PeerMailbox) {
         if let Some(link) = self.links.get_mut(&name.vm.key()) {
             link.mailbox = Some(mailbox);
+            spdlog::info!("peer-up", kv: { peer: = name.vm });
         }
     }
 
     /// Forgets a connection that ended.
     pub fn down(&mut self, vm: VmKey) {
-        if let Some(link) = self.links.get_mut(&vm) {
-            link.mailbox = None;
+        if let Some(link) = self.links.get_mut(&vm)
+            && link.mailbox.take().is_some()
+        {
+            spdlog::warn!("peer-down", kv: { peer: = link.target.vm });
         }
     }
 
@@ -107,9 +110,16 @@
     pub fn send_digest(&mut self, mut digest: FleetDigest) {
         self.sequence += 1;
         digest.sequence = self.sequence;
-        for vm in self.connected() {
-            self.send(vm, PeerBody::Digest(digest.clone()));
-        }
+        self.send_all(&PeerBody::Digest(digest));
+    }
+
+    /// Sends a frame to every connected peer; false when there is none.
+    pub fn send_all(&self, body: &PeerBody) -> bool {
+        let sent = self
+            .connected()
+            .into_iter()
+            .filter(|&vm| self.send(vm, body.clone()));
+        sent.count() > 0
     }
 
     /// Peers with a proved connection.
--- a/src/control/work_controller.rs
+++ b/src/control/work_controller.rs
@@ -1,8 +1,9 @@
 //! Carries out what the scheduler wants: verdicts to traffic, questions to stewards.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::control::event::{WorkOffer, WorkVerdict};
 use crate::control::peer_controller::PeerController;
@@ -11,7 +12,7 @@
 use crate::policy::refusal::RefusalReason;
 use crate::policy::request_scheduler::{RequestScheduler, SchedulerStep};
 use crate::policy::retry_budget::RetryBudget;
-use crate::wire::{PeerBody, SlotAsk, SlotRelease};
+use crate::wire_convert::step_message;
 
 /// Requests that wait for a verdict.
 #[derive(Debug)]
@@ -21,6 +22,8 @@
     /// The budget for further attempts.
     pub retries: RetryBudget,
     replies: HashMap<RequestKey, oneshot::Sender<WorkVerdict>>,
+    /// How to stop each request that waits or runs.
+    stops: HashMap<RequestKey, Arc<Notify>>,
     accounts: HashMap<RequestKey, AccountKey>,
 }
 
@@ -31,18 +34,20 @@
             scheduler,
             retries,
             replies: HashMap::new(),
+            stops: HashMap::new(),
             accounts: HashMap::new(),
         }
     }
 
     /// Takes a request into its queue, or refuses it.
     pub fn offer(&mut self, offer: WorkOffer) {
-        let WorkOffer { item, reply } = offer;
+        let WorkOffer { item, stop, reply } = offer;
         let (request, account) = (item.request, item.account);
         self.retries.earn();
         match self.scheduler.offer(item) {
             Ok(()) => {
                 self.replies.insert(request, reply);
+                self.stops.insert(request, stop);
                 self.accounts.insert(request, account);
             }
             Err(refusal) => {
@@ -64,8 +69,23 @@
         }
     }
 
+    /// Takes back a request that gave its slot up and waits for its engine again.
+    pub fn yielded(
+        &mut self,
+        now: MonoTime,
+        request: RequestKey,
+        reply: oneshot::Sender<WorkVerdict>,
+        peers: &PeerController,
+    ) {
+        self.replies.insert(request, reply);
+        if let Some(step) = self.scheduler.preempted(now, request) {
+            self.carry_out_one(now, step, peers);
+        }
+    }
+
     /// Counts a request as ended.
     pub fn finish(&mut self, now: MonoTime, request: RequestKey, peers: &PeerController) {
+        self.stops.remove(&request);
         if let Some(step) = self.scheduler.finish(now, request) {
             self.carry_out_one(now, step, peers);
         }
@@ -74,6 +94,7 @@
     /// Forgets a request whose caller left while it waited.
     pub fn cancel(&mut self, request: RequestKey) {
         self.scheduler.cancel(request);
+        self.stops.remove(&request);
         self.replies.remove(&request);
         self.accounts.remove(&request);
     }
@@ -97,31 +118,37 @@
         match step {
             SchedulerStep::Run { item, engine } => self.tell_run(now, item.request, engine, peers),
             SchedulerStep::Refuse { item, refusal } => {
+                self.stops.remove(&item.request);
                 if let Some(reply) = self.take_reply(item.request) {
                     let _ = reply.send(WorkVerdict::Refused(refusal));
                 }
             }
-            SchedulerStep::Ask {
-                request,
-                rank,
-                engine,
-                steward,
-            } => {
-                let ask = SlotAsk {
-                    request: request.0,
-                    engine: engine.0,
-                    rank: rank.index() as u32,
-                };
-                // An ask that can't be sent runs into its time limit.
-                peers.send(steward, PeerBody::SlotAsk(ask));
+            SchedulerStep::Preempt { request } => self.tell_stop(request),
+            // A message that can't be sent is made good by a time limit or the next digest.
+            SchedulerStep::Ask { .. }
+            | SchedulerStep::Release { .. }
+            | SchedulerStep::Announce { .. } => {
+                self.send(&step, peers);
             }
-            SchedulerStep::Release { engine, steward } => {
-                let release = SlotRelease { engine: engine.0 };
-                peers.send(steward, PeerBody::SlotRelease(release));
+            SchedulerStep::Grant { router, .. } => {
+                if !self.send(&step, peers) {
+                    self.scheduler.grant_failed(now, router, &step);
+                }
             }
         }
     }
 
+    /// Sends the message of a step; false when it reached nobody.
+    fn send(&self, step: &SchedulerStep, peers: &PeerController) -> bool {
+        let Some(message) = step_message(&self.scheduler, step) else {
+            return false;
+        };
+        match message.to {
+            Some(vm) => peers.send(vm, message.body),
+            None => peers.send_all(&message.body),
+        }
+    }
+
     fn tell_run(
         &mut self,
         now: MonoTime,
@@ -138,6 +165,12 @@
         }
     }
 
+    fn tell_stop(&self, request: RequestKey) {
+        if let Some(stop) = self.stops.get(&request) {
+            stop.notify_one();
+        }
+    }
+
     fn take_reply(&mut self, request: RequestKey) -> Option<oneshot::Sender<WorkVerdict>> {
         self.accounts.remove(&request);
         self.replies.remove(&request)
--- a/src/entry/chat_handler.rs
+++ b/src/entry/chat_handler.rs
@@ -1,5 +1,7 @@
 //! `POST /v1/chat/completions`: a request to a model, answered as a stream of events.
 
+use std::time::Duration;
+
 use ntex::http::StatusCode;
 use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse};
@@ -136,6 +138,9 @@
         cost: body.len() as u64 / BYTES_PER_TOKEN + answer,
         accepted: state.clock.now(),
         avoid: None,
+        pinned: None,
+        preemptions: 0,
+        served: Duration::ZERO,
     })
 }
 
--- a/src/fleet/peer_view.rs
+++ b/src/fleet/peer_view.rs
@@ -7,7 +7,7 @@
 use crate::mono::MonoTime;
 
 /// A peer that is silent for this long is suspected and gets no questions.
-pub const SUSPECT_AFTER: Duration = Duration::from_millis(1500);
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(2500);
 
 /// A peer that is silent for this long is no longer counted as a steward or holder of slots.
 pub const GONE_AFTER: Duration = Duration::from_secs(4);
--- a/src/peer/accept.rs
+++ b/src/peer/accept.rs
@@ -27,7 +27,7 @@
         ntex::rt::spawn(async move {
             let peer = address.to_string();
             if let Err(error) = serve(stream, &own, &peer, &*notify).await {
-                spdlog::debug!("peer-accepted-down", kv: { peer, error: = error });
+                spdlog::info!("peer-refused", kv: { peer, error: = error });
             }
         });
     }
--- a/src/peer/dial.rs
+++ b/src/peer/dial.rs
@@ -16,7 +16,7 @@
 
 /// A connection without a frame for this long is dropped. Digests go out several times in it and
 /// each is answered.
-const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+const SILENCE_LIMIT: Duration = Duration::from_millis(2500);
 
 /// Dials a peer again and again; tells `notify` what happens.
 pub async fn dial_peer(own: PeerIdentity, target: PeerTarget, notify: impl Fn(PeerEvent)) {
--- a/src/policy/engine_pool.rs
+++ b/src/policy/engine_pool.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use crate::ids::{AccountKey, EngineKey, ModelKey};
+use crate::ids::{AccountKey, EngineKey, ModelKey, RequestKey};
 use crate::mono::MonoTime;
 use crate::policy::fair_queue::FairQueue;
 use crate::policy::placement::WeightedChoice;
 use crate::policy::rank_shares::RankCounts;
-use crate::policy::rate_meter::RateMeter;
+use crate::policy::recent_accounts::RecentAccounts;
+use crate::policy::service_meter::ServiceMeter;
 use crate::policy::work_item::WorkItem;
 use crate::rules::WorkRank;
 use crate::units::ShareRatio;
@@ -15,6 +16,12 @@
 /// Engines of fewer slots keep no headroom.
 const MIN_HEADROOM_SLOTS: u32 = 4;
 
+/// Time over which a rank's demand fades.
+const DEMAND_MEMORY: Duration = Duration::from_secs(10);
+
+/// Part of a queue's room that any account may fill.
+const SHORT_QUEUE: f64 = 0.4;
+
 /// An engine as the scheduler sees it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolEngine {
@@ -29,13 +36,12 @@
 }
 
 impl PoolEngine {
-    /// Slots that `rank` may use; the headroom is for quick questions.
-    pub fn usable_slots(&self, rank: WorkRank, headroom: ShareRatio) -> u32 {
-        if rank == WorkRank::Quick || self.slots < MIN_HEADROOM_SLOTS {
-            return self.slots;
+    /// Slots that are kept for quick questions.
+    pub fn headroom_slots(&self, headroom: ShareRatio) -> u32 {
+        if self.slots < MIN_HEADROOM_SLOTS {
+            return 0;
         }
-        let kept = (f64::from(self.slots) * headroom.get()).ceil() as u32;
-        self.slots.saturating_sub(kept).max(1)
+        (f64::from(self.slots) * headroom.get()).ceil() as u32
     }
 }
 
@@ -46,11 +52,21 @@
     /// Open engines with their slots as weights.
     choices: Vec<WeightedChoice<EngineKey>>,
     queues: [FairQueue<WorkItem>; WorkRank::ALL.len()],
-    meters: [RateMeter; WorkRank::ALL.len()],
-    /// Whether the queue of a rank has had work since its last departure.
-    busy: [bool; WorkRank::ALL.len()],
+    /// Begun requests that gave their slots up, oldest first; each waits for its own engine.
+    paused: Vec<WorkItem>,
+    meters: [ServiceMeter; WorkRank::ALL.len()],
+    /// The most slots that each rank asked for lately, fading.
+    recent: [f64; WorkRank::ALL.len()],
+    demand_at: MonoTime,
+    accounts: RecentAccounts,
     /// Slots that this router holds or asks for, by rank.
     pub held: RankCounts,
+    /// Requests that this router runs.
+    pub running: u32,
+    /// What the others were last told of that.
+    pub announced: u32,
+    /// When they were told.
+    pub announced_at: MonoTime,
 }
 
 impl EnginePool {
@@ -93,24 +109,58 @@
 
     /// The share of the open slots that `engine` has.
     pub fn capacity_share(&self, engine: &PoolEngine) -> f64 {
-        let slots: u32 = self.open_engines().map(|engine| engine.slots).sum();
-        f64::from(engine.slots) / f64::from(slots.max(1))
+        f64::from(engine.slots) / f64::from(self.open_slots().max(1))
     }
 
-    /// How long `item` would wait in its queue.
+    /// How long the last request of a queue waits when its rank gets `slots` slots.
+    pub fn queue_time(&self, item: &WorkItem, slots: f64) -> Duration {
+        let ahead = self.queues[item.rank.index()].len();
+        self.meters[item.rank.index()].time_for(ahead, item.cost, slots)
+    }
+
+    /// Whether a queue that `slots` slots serve has room for one more request of this account.
     ///
-    /// Under fair queueing an account waits for as many of the others' requests as it has of its
-    /// own, so a small account is not held up by a queue that a large one filled.
-    pub fn expected_wait(&self, item: &WorkItem) -> Duration {
-        let queue = &self.queues[item.rank.index()];
-        let own = queue.account_len(item.account);
-        let ahead = queue.len().min((own + 1) * (queue.active_accounts() + 1));
-        match self.meters[item.rank.index()].rate() {
-            Some(rate) if rate > 0.0 => Duration::from_secs_f64(ahead as f64 / rate),
-            _ => Duration::ZERO,
+    /// A short queue takes any account's. Beyond that, each account that asked lately may fill its
+    /// part of what is served within `limit`, so that a small account finds room in a queue that a
+    /// large one would fill.
+    pub fn has_queue_room(&mut self, item: &WorkItem, slots: f64, limit: Duration) -> bool {
+        let index = item.rank.index();
+        let one = self.meters[index].time_for(1, item.cost, slots);
+        let room = limit.as_secs_f64() / one.as_secs_f64().max(1e-9);
+        let part = self
+            .accounts
+            .part_of(item.accepted, item.account, item.weight);
+        let queue = &self.queues[index];
+        let own = (queue.account_len(item.account) + 1) as f64;
+        (queue.len() as f64) < room * SHORT_QUEUE || own <= (room * part).max(1.0)
+    }
+
+    /// Notes how many slots each rank asks for now.
+    pub fn note_demand(&mut self, now: MonoTime) {
+        let decay = (-now.since(self.demand_at).as_secs_f64() / DEMAND_MEMORY.as_secs_f64()).exp();
+        self.demand_at = now;
+        let waiting = self.waiting();
+        for (index, recent) in self.recent.iter_mut().enumerate() {
+            let asked = f64::from(self.held[index] + waiting[index]);
+            *recent = (*recent * decay).max(asked);
         }
     }
 
+    /// The most slots that each rank asked for lately.
+    pub fn recent(&self) -> [f64; WorkRank::ALL.len()] {
+        self.recent
+    }
+
+    /// Counts how long a request held its slot.
+    pub fn note_service(&mut self, rank: WorkRank, held: Duration) {
+        self.meters[rank.index()].note(held);
+    }
+
+    /// Slots of all open engines.
+    pub fn open_slots(&self) -> u32 {
+        self.open_engines().map(|engine| engine.slots).sum()
+    }
+
     /// Adds a request to its queue.
     pub fn push(&mut self, item: WorkItem) {
         let queue = &mut self.queues[item.rank.index()];
@@ -129,15 +179,26 @@
     }
 
     /// Takes the next request of `rank`.
-    pub fn pop(&mut self, now: MonoTime, rank: WorkRank) -> Option<WorkItem> {
-        let index = rank.index();
-        let item = self.queues[index].pop()?;
-        self.meters[index].depart(now, self.busy[index]);
-        self.busy[index] = !self.queues[index].is_empty();
-        Some(item)
+    pub fn pop(&mut self, rank: WorkRank) -> Option<WorkItem> {
+        self.queues[rank.index()].pop()
     }
 
-    /// Takes every waiting request that `unwanted` names.
+    /// Keeps a begun request until its engine has a slot for it again.
+    pub fn pause(&mut self, item: WorkItem) {
+        self.paused.push(item);
+    }
+
+    /// Begun requests that wait for their engines, oldest first.
+    pub fn paused(&self) -> &[WorkItem] {
+        &self.paused
+    }
+
+    /// Takes a begun request by its position.
+    pub fn resume(&mut self, position: usize) -> WorkItem {
+        self.paused.remove(position)
+    }
+
+    /// Takes every request from the queues that `unwanted` names; begun ones stay.
     pub fn remove_where(&mut self, mut unwanted: impl FnMut(&WorkItem) -> bool) -> Vec<WorkItem> {
         let queues = self.queues.iter_mut();
         queues
@@ -145,9 +206,18 @@
             .collect()
     }
 
-    /// Requests that wait, by rank.
+    /// Forgets a begun request that waits.
+    pub fn forget_paused(&mut self, request: RequestKey) {
+        self.paused.retain(|item| item.request != request);
+    }
+
+    /// Requests in the queues and begun ones that wait, by rank.
     pub fn waiting(&self) -> RankCounts {
-        std::array::from_fn(|index| self.queues[index].len() as u32)
+        let mut counts: RankCounts = std::array::from_fn(|index| self.queues[index].len() as u32);
+        for item in &self.paused {
+            counts[item.rank.index()] += 1;
+        }
+        counts
     }
 
     /// Requests of `account` that wait.
--- a/src/policy/fair_queue.rs
+++ b/src/policy/fair_queue.rs
@@ -1,6 +1,6 @@
 //! Fair queueing over client accounts by estimated cost.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::ids::AccountKey;
 
@@ -12,7 +12,7 @@
 /// An account that asks for much waits behind its own work only.
 #[derive(Debug)]
 pub struct FairQueue<T> {
-    lanes: HashMap<AccountKey, AccountLane<T>>,
+    lanes: BTreeMap<AccountKey, AccountLane<T>>,
     /// Accounts that wait, by the start tag of their first item.
     order: BTreeSet<StartTag>,
     virtual_time: u64,
@@ -42,7 +42,7 @@
 impl<T> Default for FairQueue<T> {
     fn default() -> Self {
         Self {
-            lanes: HashMap::new(),
+            lanes: BTreeMap::new(),
             order: BTreeSet::new(),
             virtual_time: 0,
             len: 0,
--- a/src/policy/load_bound.rs
+++ b/src/policy/load_bound.rs
@@ -2,6 +2,9 @@
 
 use crate::rules::LoadMultiple;
 
+/// Requests by which the limit stays below the multiple.
+const TOTAL_SLACK: f64 = 0.8;
+
 /// Computes how many requests an engine may hold.
 #[derive(Clone, Copy, Debug)]
 pub struct LoadBound {
@@ -17,13 +20,12 @@
     /// The most requests that an engine with `share` of the pool's capacity may hold once one
     /// more joins the `total` in flight.
     ///
-    /// Rounding up the fair share keeps room for every request; rounding down the multiple keeps
-    /// the sum within it. The result never exceeds the multiple of the mean plus one.
+    /// Rounding up the fair share keeps room for every request. Above it, some slack stays below the multiple, since `total` may have fallen since it was told. With a true
+    /// total the result never exceeds the multiple of the mean plus one.
     pub fn limit(self, total: u32, share: f64) -> u32 {
         let fair = f64::from(total + 1) * share;
-        let needed = fair.ceil();
-        let allowed = (fair * self.multiple.get()).floor();
-        needed.max(allowed) as u32
+        let above = (fair * (self.multiple.get() - 1.0) - TOTAL_SLACK).max(0.0);
+        fair.ceil().max((fair + above).floor()) as u32
     }
 
     /// The limit for a router that can't ask anyone: its own share of the multiple, rounded down.
--- a/src/policy/slot_steward.rs
+++ b/src/policy/slot_steward.rs
@@ -3,7 +3,7 @@
 //! One router is the steward of an engine: it grants every slot there, so its counts are exact.
 //! The counts of other engines come from the digests of the other routers and lag.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -12,7 +12,16 @@
 use crate::mono::MonoTime;
 
 /// Quiet time after which a digest may correct a count that grants and releases made.
-const SETTLE_TIME: Duration = Duration::from_millis(1500);
+const SETTLE_TIME: Duration = Duration::from_millis(2500);
+
+/// Which part of an engine's slots one belongs to.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum SlotKind {
+    /// Any rank may use it.
+    Shared,
+    /// Kept for quick questions.
+    Headroom,
+}
 
 /// A router's requests on one engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
@@ -21,13 +30,15 @@
     pub engine: EngineKey,
     /// Requests in progress.
     pub running: u32,
+    /// How many of them hold a slot of the headroom.
+    pub headroom: u32,
 }
 
 /// The answer of a steward that was asked for a slot.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SlotAnswer {
     /// The slot is the asker's until it releases it.
-    Granted,
+    Granted(SlotKind),
     /// The engine holds as much as it may.
     Full,
 }
@@ -36,60 +47,70 @@
 struct HolderCount {
     router: VmKey,
     running: u32,
-    /// When a grant or release last changed the count.
-    touched: MonoTime,
+    headroom: u32,
+    /// When a grant or release last changed the count; none before the first.
+    touched: Option<MonoTime>,
 }
 
 /// Requests in progress by engine and router.
 #[derive(Debug, Default)]
 pub struct SlotSteward {
-    holders: HashMap<EngineKey, Vec<HolderCount>>,
+    holders: BTreeMap<EngineKey, Vec<HolderCount>>,
 }
 
 impl SlotSteward {
     /// Requests in progress on `engine` from all routers.
     pub fn load(&self, engine: EngineKey) -> u32 {
-        self.holders.get(&engine).map_or(0, |holders| {
-            holders.iter().map(|holder| holder.running).sum()
-        })
+        self.counts(engine).map(|holder| holder.running).sum()
+    }
+
+    /// Slots of the headroom in use on `engine`.
+    pub fn headroom(&self, engine: EngineKey) -> u32 {
+        self.counts(engine).map(|holder| holder.headroom).sum()
     }
 
     /// Requests in progress on `engine` from `router`.
-    pub fn load_of(&self, engine: EngineKey, router: VmKey) -> u32 {
-        self.holders
-            .get(&engine)
-            .and_then(|holders| holders.iter().find(|holder| holder.router == router))
-            .map_or(0, |holder| holder.running)
+    pub fn load_of(&self, engine: EngineKey, router: VmKey) -> EngineLoad {
+        let holder = self.counts(engine).find(|holder| holder.router == router);
+        EngineLoad {
+            engine,
+            running: holder.map_or(0, |holder| holder.running),
+            headroom: holder.map_or(0, |holder| holder.headroom),
+        }
     }
 
     /// Counts one more request of `router` on `engine`.
-    pub fn take(&mut self, now: MonoTime, engine: EngineKey, router: VmKey) {
+    pub fn take(&mut self, now: MonoTime, engine: EngineKey, router: VmKey, kind: SlotKind) {
         let holder = self.holder(engine, router);
         holder.running += 1;
-        holder.touched = now;
+        holder.headroom += u32::from(kind == SlotKind::Headroom);
+        holder.touched = Some(now);
     }
 
     /// Counts one request of `router` on `engine` less.
-    pub fn release(&mut self, now: MonoTime, engine: EngineKey, router: VmKey) {
+    pub fn release(&mut self, now: MonoTime, engine: EngineKey, router: VmKey, kind: SlotKind) {
         let holder = self.holder(engine, router);
         holder.running = holder.running.saturating_sub(1);
-        holder.touched = now;
+        if kind == SlotKind::Headroom {
+            holder.headroom = holder.headroom.saturating_sub(1);
+        }
+        holder.touched = Some(now);
     }
 
     /// Takes over the counts that `router` reports of itself.
     ///
-    /// A count that grants changed lately is newer than the report and stays, unless it is lower
-    /// than the report: then a slot was taken that this steward did not grant.
+    /// A count that a grant or release changed lately is newer than the report and stays.
     pub fn report(&mut self, now: MonoTime, router: VmKey, loads: &[EngineLoad]) {
         for (engine, holders) in &mut self.holders {
             let told = loads.iter().any(|load| load.engine == *engine);
             let holder = holders.iter_mut().find(|holder| holder.router == router);
             if let Some(holder) = holder.filter(|_| !told) {
-                holder.correct(now, 0);
+                holder.correct(now, 0, 0);
             }
         }
         for load in loads {
-            self.holder(load.engine, router).correct(now, load.running);
+            self.holder(load.engine, router)
+                .correct(now, load.running, load.headroom);
         }
     }
 
@@ -101,6 +122,10 @@
         self.holders.retain(|_, holders| !holders.is_empty());
     }
 
+    fn counts(&self, engine: EngineKey) -> impl Iterator<Item = &HolderCount> {
+        self.holders.get(&engine).into_iter().flatten()
+    }
+
     fn holder(&mut self, engine: EngineKey, router: VmKey) -> &mut HolderCount {
         let holders = self.holders.entry(engine).or_default();
         let index = holders
@@ -110,7 +135,8 @@
                 holders.push(HolderCount {
                     router,
                     running: 0,
-                    touched: MonoTime::default(),
+                    headroom: 0,
+                    touched: None,
                 });
                 holders.len() - 1
             });
@@ -119,9 +145,13 @@
 }
 
 impl HolderCount {
-    fn correct(&mut self, now: MonoTime, told: u32) {
-        if now.since(self.touched) >= SETTLE_TIME || self.touched == MonoTime::default() {
-            self.running = told;
+    fn correct(&mut self, now: MonoTime, running: u32, headroom: u32) {
+        let settled = self
+            .touched
+            .is_none_or(|touched| now.since(touched) >= SETTLE_TIME);
+        if settled {
+            self.running = running;
+            self.headroom = headroom;
         }
     }
 }
--- a/src/policy/work_item.rs
+++ b/src/policy/work_item.rs
@@ -1,5 +1,7 @@
 //! A request as the decisions see it.
 
+use std::time::Duration;
+
 use crate::ids::{AccountKey, ChatKey, EngineKey, ModelKey, RequestKey};
 use crate::mono::MonoTime;
 use crate::rules::WorkRank;
@@ -25,4 +27,10 @@
     pub accepted: MonoTime,
     /// An engine that has just failed it and is tried last.
     pub avoid: Option<EngineKey>,
+    /// The engine that holds its begun answer, the only one that can go on with it.
+    pub pinned: Option<EngineKey>,
+    /// How often it gave its slot up to more urgent work.
+    pub preemptions: u8,
+    /// How long it held slots before it gave the last one up.
+    pub served: Duration,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -66,7 +66,7 @@
     ///
     /// Invariant: the floors of all ranks add up to at most 100%.
     pub floor: ShareRatio,
-    /// Longest time in a queue; work that would wait longer is refused at once.
+    /// Longest expected time in a queue; work that would wait longer is refused at once.
     pub max_wait: TimeSpan,
     /// Time from acceptance to the end of the answer.
     pub deadline: TimeSpan,
@@ -198,7 +198,7 @@
     };
     RuleBook {
         load_multiple: LoadMultiple(1.25),
-        headroom: ShareRatio::from_percent(5),
+        headroom: ShareRatio::from_percent(25),
         ranks: RankRules {
             quick: rank(70, 30, 2, 20, 3, 99),
             verdict: rank(60, 20, 8, 60, 10, 95),
--- a/src/upstream/answer_relay.rs
+++ b/src/upstream/answer_relay.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use ntex::client::Client;
 use tokio::sync::mpsc::Sender;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::board::{Board, ConfigSection};
 use crate::control::{ControlEvent, ControlHandle, WorkOffer, WorkVerdict};
@@ -56,6 +56,8 @@
     request: EngineRequest,
     check: AnswerCheck,
     out: Sender<RelayMessage>,
+    /// Notified when the request is to give its slot up.
+    stop: Arc<Notify>,
     /// Set once any byte of the request may have reached an engine that did not refuse it.
     maybe_run: bool,
 }
@@ -70,6 +72,8 @@
     FailedUnseen(RouterError),
     /// The engine failed within the answer.
     Cut(RouterError),
+    /// The request gave its slot up to more urgent work.
+    Stopped,
     /// The caller is gone or takes nothing.
     CallerGone,
 }
@@ -90,6 +94,7 @@
             item,
             request,
             out,
+            stop: Arc::new(Notify::new()),
             maybe_run: false,
         }
     }
@@ -97,26 +102,33 @@
     /// Runs the request to its end.
     pub async fn run(mut self) {
         let mut engines = 0;
+        let mut verdict = self.offer().await;
         loop {
-            let engine = match self.offer().await {
+            let engine = match verdict {
                 Some(WorkVerdict::Run(engine)) => engine,
                 Some(WorkVerdict::Refused(refusal)) => return self.end_refused(refusal).await,
                 None => return,
             };
-            engines += 1;
             let slot = SlotGuard::new(&self.context.control, self.item.request, engine);
             let end = self.run_on(engine).await;
+            if matches!(end, EngineEnd::Stopped) {
+                slot.forget();
+                verdict = self.give_way().await;
+                continue;
+            }
             slot.finish(matches!(end, EngineEnd::Whole | EngineEnd::CallerGone));
             let error = match end {
-                EngineEnd::Whole | EngineEnd::CallerGone => return,
+                EngineEnd::Whole | EngineEnd::CallerGone | EngineEnd::Stopped => return,
                 EngineEnd::Cut(error) => return self.end_cut(&error).await,
                 EngineEnd::NotRun(error) | EngineEnd::FailedUnseen(error) => error,
             };
             self.log_fault("engine-failed", &error);
+            engines += 1;
             if engines >= MAX_ENGINES || self.is_late() || !self.may_retry().await {
                 return self.end_unserved(&error).await;
             }
             self.item.avoid = Some(engine);
+            verdict = self.offer().await;
         }
     }
 
@@ -136,15 +148,30 @@
     /// Waits for an engine; none when the caller left.
     async fn offer(&self) -> Option<WorkVerdict> {
         let (reply, verdict) = oneshot::channel();
-        let waiting = WaitGuard {
-            control: &self.context.control,
-            item: &self.item,
-        };
         let offer = WorkOffer {
             item: self.item.clone(),
+            stop: Arc::clone(&self.stop),
             reply,
         };
         self.context.control.tell(ControlEvent::Offer(offer));
+        self.wait_for(verdict).await
+    }
+
+    /// Gives the slot up and waits to go on with the answer.
+    async fn give_way(&self) -> Option<WorkVerdict> {
+        let (reply, verdict) = oneshot::channel();
+        let request = self.item.request;
+        self.context
+            .control
+            .tell(ControlEvent::Yield { request, reply });
+        self.wait_for(verdict).await
+    }
+
+    async fn wait_for(&self, verdict: oneshot::Receiver<WorkVerdict>) -> Option<WorkVerdict> {
+        let waiting = WaitGuard {
+            control: &self.context.control,
+            item: &self.item,
+        };
         let verdict = tokio::select! {
             verdict = verdict => verdict.ok(),
             () = self.out.closed() => None,
@@ -220,6 +247,7 @@
             let event = tokio::select! {
                 event = stream.next(silence.min(self.time_left())) => event?,
                 () = self.out.closed() => return Ok(EngineEnd::CallerGone),
+                () = self.stop.notified() => return Ok(EngineEnd::Stopped),
             };
             match event {
                 EngineEvent::Piece {
@@ -318,6 +346,11 @@
         }
     }
 
+    /// Leaves the slot to an event of another kind.
+    fn forget(mut self) {
+        self.finish = None;
+    }
+
     fn finish(mut self, ok: bool) {
         if let Some(ControlEvent::Finish { answered, .. }) = &mut self.finish {
             *answered = ok;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -12,7 +12,7 @@
     /// What it says.
     #[prost(
         oneof = "PeerBody",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: Option<PeerBody>,
 }
@@ -74,6 +74,9 @@
     /// Says that a handed ledger is held.
     #[prost(message, tag = "16")]
     LedgerAck(LedgerAck),
+    /// The sender's requests in progress.
+    #[prost(message, tag = "17")]
+    LoadTotal(LoadTotal),
 }
 
 /// First frame of the dialler.
@@ -133,6 +136,9 @@
     /// Engines' reports that the sender has read itself.
     #[prost(message, repeated, tag = "5")]
     pub reports: Vec<ReportEntry>,
+    /// Requests that wait at the sender.
+    #[prost(uint32, tag = "6")]
+    pub waiting: u32,
 }
 
 /// Requests of the sender on one engine.
@@ -144,6 +150,9 @@
     /// Requests in progress.
     #[prost(uint32, tag = "2")]
     pub running: u32,
+    /// How many of them hold a slot of the headroom.
+    #[prost(uint32, tag = "3")]
+    pub headroom: u32,
 }
 
 /// An engine's report.
@@ -171,10 +180,24 @@
     pub sequence: u64,
 }
 
+/// The sender's requests in progress on the engines of one model.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct LoadTotal {
+    /// Hash of the model.
+    #[prost(fixed64, tag = "1")]
+    pub model: u64,
+    /// Requests in progress.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Requests that wait at the sender.
+    #[prost(uint32, tag = "3")]
+    pub waiting: u32,
+}
+
 /// A request for a slot on an engine.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct SlotAsk {
-    /// Hash of the request that wants it.
+    /// Hash of the request that wants it; zero for whichever waits.
     #[prost(fixed64, tag = "1")]
     pub request: u64,
     /// Hash of the engine.
@@ -183,6 +206,12 @@
     /// Rank of the request, 0 the most urgent.
     #[prost(uint32, tag = "3")]
     pub rank: u32,
+    /// Whether to answer once there is a slot rather than at once.
+    #[prost(bool, tag = "4")]
+    pub wait: bool,
+    /// The sender's requests in progress on engines of the same model.
+    #[prost(uint32, tag = "5")]
+    pub total: u32,
 }
 
 /// The steward's answer.
@@ -197,6 +226,12 @@
     /// Whether the slot is granted.
     #[prost(bool, tag = "3")]
     pub granted: bool,
+    /// Whether the slot is one of the headroom.
+    #[prost(bool, tag = "4")]
+    pub headroom: bool,
+    /// The sender's requests in progress on engines of the same model.
+    #[prost(uint32, tag = "5")]
+    pub total: u32,
 }
 
 /// A slot given back to its steward.
@@ -205,6 +240,12 @@
     /// Hash of the engine.
     #[prost(fixed64, tag = "1")]
     pub engine: u64,
+    /// Whether the slot is one of the headroom.
+    #[prost(bool, tag = "2")]
+    pub headroom: bool,
+    /// The sender's requests in progress on engines of the same model.
+    #[prost(uint32, tag = "3")]
+    pub total: u32,
 }
 
 /// A ticketed call, relayed to its owner or to a holder of its ledger.
--- a/src/wire_convert.rs
+++ b/src/wire_convert.rs
@@ -2,11 +2,15 @@
 
 use std::collections::HashMap;
 
-use crate::ids::{AccountKey, EngineKey, IncarnationId, VmKey};
-use crate::policy::slot_steward::EngineLoad;
+use crate::ids::{AccountKey, EngineKey, IncarnationId, RequestKey, VmKey};
+use crate::policy::request_scheduler::{ANY_REQUEST, RequestScheduler, SchedulerStep};
+use crate::policy::slot_steward::{EngineLoad, SlotAnswer, SlotKind};
 use crate::policy::ticket_ledger::{CallOutcome, CallRecord, HandedLedger, LedgerEntry};
 use crate::rules::WorkRank;
-use crate::wire::{HandedEntry, LedgerHandover, LoadEntry, RecordEntry};
+use crate::wire::{
+    HandedEntry, LedgerHandover, LoadEntry, LoadTotal, PeerBody, RecordEntry, SlotAsk, SlotRelease,
+    SlotReply,
+};
 
 impl From<&CallRecord> for RecordEntry {
     fn from(record: &CallRecord) -> Self {
@@ -43,6 +47,7 @@
         Self {
             engine: load.engine.0,
             running: load.running,
+            headroom: load.headroom,
         }
     }
 }
@@ -52,6 +57,7 @@
         Self {
             engine: EngineKey(entry.engine),
             running: entry.running,
+            headroom: entry.headroom,
         }
     }
 }
@@ -89,6 +95,109 @@
     }
 }
 
+impl From<SlotReply> for SlotAnswer {
+    fn from(reply: SlotReply) -> Self {
+        match (reply.granted, reply.headroom) {
+            (false, _) => Self::Full,
+            (true, false) => Self::Granted(SlotKind::Shared),
+            (true, true) => Self::Granted(SlotKind::Headroom),
+        }
+    }
+}
+
+/// The answer to an ask, as a message.
+pub fn slot_reply(
+    request: RequestKey,
+    engine: EngineKey,
+    answer: SlotAnswer,
+    total: u32,
+) -> SlotReply {
+    SlotReply {
+        request: request.0,
+        engine: engine.0,
+        granted: answer != SlotAnswer::Full,
+        headroom: answer == SlotAnswer::Granted(SlotKind::Headroom),
+        total,
+    }
+}
+
+/// A message and the router that it is for.
+#[derive(Clone, Debug)]
+pub struct AddressedMessage {
+    /// The router; none for every other one.
+    pub to: Option<VmKey>,
+    /// The message.
+    pub body: PeerBody,
+}
+
+/// The message that a step of the scheduler sends to other routers, if it sends one. Messages
+/// about slots also tell the sender's total, so that others know it without a message of its own.
+pub fn step_message(
+    scheduler: &RequestScheduler,
+    step: &SchedulerStep,
+) -> Option<AddressedMessage> {
+    let (to, body) = match *step {
+        SchedulerStep::Ask {
+            request,
+            rank,
+            engine,
+            steward,
+            wait,
+        } => {
+            let ask = SlotAsk {
+                request: request.0,
+                engine: engine.0,
+                rank: rank.index() as u32,
+                wait,
+                total: scheduler.own_total(engine),
+            };
+            (Some(steward), PeerBody::SlotAsk(ask))
+        }
+        SchedulerStep::Grant {
+            engine,
+            router,
+            kind,
+        } => {
+            let total = scheduler.own_total(engine);
+            let reply = slot_reply(ANY_REQUEST, engine, SlotAnswer::Granted(kind), total);
+            (Some(router), PeerBody::SlotReply(reply))
+        }
+        SchedulerStep::Release {
+            engine,
+            steward,
+            kind,
+        } => {
+            let release = SlotRelease {
+                engine: engine.0,
+                headroom: kind == SlotKind::Headroom,
+                total: scheduler.own_total(engine),
+            };
+            (Some(steward), PeerBody::SlotRelease(release))
+        }
+        SchedulerStep::Announce { model, running } => {
+            let total = LoadTotal {
+                model: model.0,
+                running,
+                waiting: scheduler.waiting_total(),
+            };
+            (None, PeerBody::LoadTotal(total))
+        }
+        SchedulerStep::Run { .. }
+        | SchedulerStep::Preempt { .. }
+        | SchedulerStep::Refuse { .. } => return None,
+    };
+    Some(AddressedMessage { to, body })
+}
+
+/// The kind of slot that a message names.
+pub fn kind_from_wire(headroom: bool) -> SlotKind {
+    if headroom {
+        SlotKind::Headroom
+    } else {
+        SlotKind::Shared
+    }
+}
+
 /// The rank that a message numbers; one that is out of range counts as the least urgent.
 pub fn rank_from_wire(number: u32) -> WorkRank {
     let index = usize::try_from(number).unwrap_or(usize::MAX);
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -35,6 +35,7 @@
         .slots(1)
         .rules(|rules| {
             rules.ranks.quick.max_wait = TimeSpan::from_millis(300);
+            rules.ranks.quick.deadline = TimeSpan::from_millis(300);
         });
     let fleet = TestFleet::start(plan).await;
     let caller = fleet.caller();
@@ -42,6 +43,7 @@
     let holder = caller.clone();
     let held = ntex::rt::spawn(async move {
         let ask = ChatAsk::new("holder", 3)
+            .rank("verdict")
             .note("holder")
             .fault(json!({"hold_at": 1}));
         holder.chat(entry, &ask).await
