--- a/src/bench.rs
+++ b/src/bench.rs
@@ -4,6 +4,7 @@
 //! the product's own. Each scenario runs plain baselines beside the product in the same call.
 
 pub mod baseline_policy;
+pub mod capacity;
 pub mod engine_model;
 pub mod event_queue;
 pub mod fleet_policy;
--- a/src/bin/hawthorn-bench.rs
+++ b/src/bin/hawthorn-bench.rs
@@ -11,6 +11,8 @@
     cmd hawthorn-bench {
         /// Print the version.
         optional --version
+        /// Work out what a daemon costs from slopes measured now.
+        cmd capacity {}
         /// List the scenarios.
         cmd list {}
         /// Run a scenario; prints one line of JSON and exits 0 only where all bounds hold.
@@ -36,6 +38,10 @@
             }
             Ok(())
         }
+        HawthornBenchCmd::Capacity(_) => {
+            hawthornrouter::cmd::capacity::run();
+            Ok(())
+        }
         HawthornBenchCmd::Run(args) => run_scenario(&args.name, args.seed.unwrap_or(1)),
     }
 }
--- a/src/board.rs
+++ b/src/board.rs
@@ -10,7 +10,7 @@
 
 use crate::bundle::ConfigBundle;
 use crate::fleet::upstream_view::UpstreamState;
-use crate::ids::{EngineId, EngineKey, ModelId, RevisionNumber, ServiceKey, VmId};
+use crate::ids::{EngineId, EngineKey, ModelId, ModelKey, RevisionNumber, ServiceKey, VmId};
 use crate::policy::rank_shares::RankCounts;
 use crate::register::{AccountEntry, EngineEntry, ServiceEntry};
 
@@ -139,11 +139,46 @@
     pub pauses: u64,
 }
 
+/// An open engine and the VM whose router grants its slots.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct HomeEntry {
+    /// Hash of the engine.
+    pub engine: EngineKey,
+    /// Hash of its model.
+    pub model: ModelKey,
+    /// Requests that it batches at once.
+    pub slots: u32,
+    /// The VM.
+    pub steward: VmId,
+}
+
+/// The open engines with their stewards, from which locators compute where a chat is at home.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct HomeSection {
+    /// Hash of the entries.
+    pub version: u64,
+    /// The entries.
+    pub homes: Vec<HomeEntry>,
+}
+
+impl HomeSection {
+    /// A section of these entries, with its version.
+    pub fn new(homes: Vec<HomeEntry>) -> Self {
+        // Serialising plain data to a string has no way to fail.
+        let text = serde_json::to_string(&homes).unwrap_or_default();
+        Self {
+            version: xxhash_rust::xxh3::xxh3_64(text.as_bytes()),
+            homes,
+        }
+    }
+}
+
 /// The sections.
 #[derive(Debug, Default)]
 pub struct Board {
     config: ArcSwapOption<ConfigSection>,
     status: ArcSwap<StatusSection>,
+    homes: ArcSwap<HomeSection>,
     stage: ArcSwap<LifeStage>,
 }
 
@@ -168,6 +203,16 @@
         self.status.store(Arc::new(section));
     }
 
+    /// Open engines with their stewards.
+    pub fn homes(&self) -> Arc<HomeSection> {
+        self.homes.load_full()
+    }
+
+    /// Writes the open engines with their stewards.
+    pub fn set_homes(&self, section: HomeSection) {
+        self.homes.store(Arc::new(section));
+    }
+
     /// How far the router is in its life.
     pub fn stage(&self) -> LifeStage {
         **self.stage.load()
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -1,6 +1,7 @@
 //! What the binaries share: the log, the runtime, exit codes.
 
 mod admin_call;
+pub mod capacity;
 mod check;
 pub mod ctl;
 mod diff;
--- a/src/config.rs
+++ b/src/config.rs
@@ -25,6 +25,7 @@
 pub fn parse_yaml<T: DeserializeOwned>(file: &str, text: &str) -> RouterResult<T> {
     yaml_serde::from_str(text).map_err(|cause| {
         let line = cause.location().map_or(0, |place| place.line());
+        let line = line_of_value(text, line, &cause.to_string());
         RouterError::Document {
             file: file.to_owned(),
             line,
@@ -242,6 +243,25 @@
         .map_or(0, |(index, _)| index + 1)
 }
 
+/// The line of the value that a fault quotes, at or after `line`. The parser places a fault in a
+/// nested value at the start of its mapping.
+fn line_of_value(text: &str, line: usize, problem: &str) -> usize {
+    let quoted = problem
+        .split_once("found \"")
+        .and_then(|(_, rest)| rest.split_once('"'));
+    let Some((value, _)) = quoted else {
+        return line;
+    };
+    let holds = |text: &str| {
+        let value_of =
+            |(_, rest): (&str, &str)| rest.split('#').next().map(str::trim) == Some(value);
+        text.split_once(':').is_some_and(value_of)
+    };
+    let from = line.saturating_sub(1);
+    let found = text.lines().skip(from).position(holds);
+    found.map_or(line, |offset| from + offset + 1)
+}
+
 /// The key that stands on `line`, or the document as a whole.
 fn field_at(text: &str, line: usize) -> String {
     line.checked_sub(1)
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -8,7 +8,10 @@
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
-use crate::board::{AccountQueue, Board, LifeStage, PeerStatus, StatusSection, UpstreamStatus};
+use crate::board::{
+    AccountQueue, Board, HomeEntry, HomeSection, LifeStage, PeerStatus, StatusSection,
+    UpstreamStatus,
+};
 use crate::control::call_controller::CallController;
 use crate::control::config_controller::ConfigController;
 use crate::control::event::{ControlEvent, ExplainAsk, RouteExplanation};
@@ -16,6 +19,7 @@
 use crate::control::upstream_controller::UpstreamController;
 use crate::control::work_controller::WorkController;
 use crate::fleet::config_state::ManifestVerdict;
+use crate::fleet::upstream_view::UpstreamState;
 use crate::fleet::wake_guard::{NewsKind, WakeGuard};
 use crate::ids::{EngineKey, ModelKey, RequestKey, VmId, VmKey};
 use crate::mono::{MonoTime, ProcessClock};
@@ -145,6 +149,7 @@
         if now >= self.next_status {
             self.next_status = now + STATUS_INTERVAL;
             self.write_status(now);
+            self.write_homes(now);
         }
     }
 
@@ -570,6 +575,26 @@
         });
     }
 
+    fn write_homes(&self, now: MonoTime) {
+        let upstreams = &self.parts.upstreams;
+        let open = upstreams
+            .engines()
+            .iter()
+            .filter(|engine| upstreams.state(now, engine.id.key()) == UpstreamState::Open);
+        let homes = open.filter_map(|engine| {
+            let steward = self.parts.work.scheduler.steward_of(engine.id.key());
+            Some(HomeEntry {
+                engine: engine.id.key(),
+                model: engine.model.key(),
+                slots: engine.slots,
+                steward: self.vm_named(steward)?,
+            })
+        });
+        self.parts
+            .board
+            .set_homes(HomeSection::new(homes.collect()));
+    }
+
     fn upstream_status(&self, now: MonoTime) -> Vec<UpstreamStatus> {
         let parts = &self.parts;
         let engines = parts.upstreams.engines().iter();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -14,6 +14,7 @@
 use ntex::server::Server;
 use ntex::time::Seconds;
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
+use serde::Deserialize;
 
 use crate::board::{Board, ConfigSection, LifeStage};
 use crate::client::build_client;
@@ -97,12 +98,27 @@
     Ok(server.run())
 }
 
-/// Tells locators whether this router may be named to callers.
-async fn ready(state: web::types::State<EntryState>) -> HttpResponse {
-    if state.board.stage() == LifeStage::Serving {
-        HttpResponse::Ok().finish()
+#[derive(Deserialize)]
+struct ReadyQuery {
+    /// Version of the homes that the locator has.
+    #[serde(default)]
+    homes: u64,
+}
+
+/// Tells locators whether this router may be named to callers, and the homes of chats if they
+/// have changed.
+async fn ready(
+    query: web::types::Query<ReadyQuery>,
+    state: web::types::State<EntryState>,
+) -> HttpResponse {
+    if state.board.stage() != LifeStage::Serving {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let homes = state.board.homes();
+    if homes.version == query.homes {
+        HttpResponse::NoContent().finish()
     } else {
-        HttpResponse::ServiceUnavailable().finish()
+        HttpResponse::Ok().json(&*homes)
     }
 }
 
--- a/src/locator.rs
+++ b/src/locator.rs
@@ -1,11 +1,13 @@
 //! Tells callers which entry address to use.
 //!
-//! A locator asks every entry VM whether it is ready and names, for each chat, the ready VM that
-//! comes first in rendezvous order, so a chat returns to the router that knows it.
+//! A locator asks every entry VM whether it is ready, and learns which router grants the slots of
+//! which engine. For a chat it names the steward of the chat's home engine, so that the chat
+//! returns to the router that knows it and its slot costs no message. When that VM is not ready,
+//! or the model is not told, it names the ready VM that comes first in rendezvous order.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
 use ntex::client::Client;
@@ -13,9 +15,10 @@
 use ntex::web::{self, App, HttpResponse, HttpServer};
 use serde::{Deserialize, Serialize};
 
+use crate::board::{HomeEntry, HomeSection};
 use crate::client::build_client;
 use crate::error::{RouterError, RouterResult, StepName};
-use crate::ids::{ChatId, VmId, VmKey};
+use crate::ids::{ChatId, EngineKey, ModelId, VmId, VmKey};
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::placement::{WeightedChoice, rendezvous_order};
 use crate::settings::{LocatorSettings, LocatorTarget};
@@ -30,7 +33,7 @@
 const PROBE_STALE: Duration = Duration::from_secs(2);
 
 /// Largest answer to a probe, in bytes.
-const PROBE_BYTES: usize = 4096;
+const PROBE_BYTES: usize = 1 << 20;
 
 /// What callers are told.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
@@ -57,28 +60,24 @@
     settings: LocatorSettings,
     clock: ProcessClock,
     probes: RwLock<HashMap<VmKey, ProbeRecord>>,
+    homes: RwLock<HomeSection>,
 }
 
 #[derive(Deserialize)]
 struct EntryQuery {
     chat: Option<ChatId>,
+    model: Option<ModelId>,
 }
 
 impl LocatorState {
     fn write(&self, vm: VmKey, ready: bool, at: MonoTime) {
-        let mut probes = self
-            .probes
-            .write()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut probes = self.probes.write().unwrap_or_else(PoisonError::into_inner);
         probes.insert(vm, ProbeRecord { ready, at });
     }
 
     fn is_stale(&self) -> bool {
         let now = self.clock.now();
-        let probes = self
-            .probes
-            .read()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let probes = self.probes.read().unwrap_or_else(PoisonError::into_inner);
         let fresh = probes
             .values()
             .filter(|probe| now.since(probe.at) < PROBE_STALE);
@@ -86,16 +85,44 @@
     }
 
     fn ready(&self) -> Vec<&LocatorTarget> {
-        let probes = self
-            .probes
-            .read()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let probes = self.probes.read().unwrap_or_else(PoisonError::into_inner);
         let is_ready = |vm: VmKey| probes.get(&vm).is_some_and(|probe| probe.ready);
         let vms = self.settings.vms.iter();
         vms.filter(|target| is_ready(target.vm.key())).collect()
     }
 
-    fn answer(&self, chat: u64) -> Option<EntryAnswer> {
+    fn homes_version(&self) -> u64 {
+        self.homes
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .version
+    }
+
+    fn set_homes(&self, section: HomeSection) {
+        *self.homes.write().unwrap_or_else(PoisonError::into_inner) = section;
+    }
+
+    /// The VM of the steward of a chat's home engine.
+    fn home_of(&self, model: &ModelId, chat: u64) -> Option<VmKey> {
+        let section = self.homes.read().unwrap_or_else(PoisonError::into_inner);
+        let of_model: Vec<&HomeEntry> = section
+            .homes
+            .iter()
+            .filter(|home| home.model == model.key())
+            .collect();
+        let choices: Vec<WeightedChoice<EngineKey>> = of_model
+            .iter()
+            .map(|home| WeightedChoice {
+                key: home.engine,
+                weight: f64::from(home.slots),
+            })
+            .collect();
+        let first = rendezvous_order(chat, &choices).first().copied()?;
+        let home = of_model.into_iter().find(|home| home.engine == first)?;
+        Some(home.steward.key())
+    }
+
+    fn answer(&self, chat: u64, model: Option<&ModelId>) -> Option<EntryAnswer> {
         let ready = self.ready();
         let choices: Vec<WeightedChoice<VmKey>> = ready
             .iter()
@@ -104,7 +131,10 @@
                 weight: 1.0,
             })
             .collect();
-        let order = rendezvous_order(chat, &choices);
+        let mut order = rendezvous_order(chat, &choices);
+        if let Some(home) = model.and_then(|model| self.home_of(model, chat)) {
+            order.sort_by_key(|&vm| vm != home);
+        }
         let mut targets = order
             .into_iter()
             .filter_map(|key| ready.iter().find(|target| target.vm.key() == key));
@@ -125,6 +155,7 @@
         settings,
         clock: ProcessClock::start(),
         probes: RwLock::new(HashMap::new()),
+        homes: RwLock::new(HomeSection::default()),
     });
     let client = build_client(PROBE_LIMIT, PROBE_BYTES).await?;
     ntex::rt::spawn(probe_forever(client, Arc::clone(&state)));
@@ -157,7 +188,7 @@
         .chat
         .as_ref()
         .map_or_else(rand::random, |chat| chat.key().0);
-    match state.answer(chat) {
+    match state.answer(chat, query.model.as_ref()) {
         Some(answer) => HttpResponse::Ok().json(&answer),
         None => HttpResponse::ServiceUnavailable()
             .header("retry-after", "1")
@@ -183,9 +214,38 @@
 
 async fn probe(client: &Client, state: &LocatorState, target: &LocatorTarget) {
     let at = state.clock.now();
-    let url = format!("http://{}/v1/ready", target.entry);
-    let call = client.get(url).force_close().send();
-    let answered = tokio::time::timeout(PROBE_LIMIT, call).await;
-    let ready = matches!(answered, Ok(Ok(response)) if response.status().is_success());
-    state.write(target.vm.key(), ready, at);
+    let url = format!(
+        "http://{}/v1/ready?homes={}",
+        target.entry,
+        state.homes_version()
+    );
+    let answered = tokio::time::timeout(PROBE_LIMIT, read_ready(client, &url)).await;
+    let answer = answered.unwrap_or(ReadyAnswer::NotReady);
+    state.write(
+        target.vm.key(),
+        !matches!(answer, ReadyAnswer::NotReady),
+        at,
+    );
+    if let ReadyAnswer::Homes(section) = answer {
+        state.set_homes(section);
+    }
+}
+
+/// What a router answers to a probe.
+enum ReadyAnswer {
+    NotReady,
+    Ready,
+    Homes(HomeSection),
+}
+
+async fn read_ready(client: &Client, url: &str) -> ReadyAnswer {
+    let Ok(response) = client.get(url).force_close().send().await else {
+        return ReadyAnswer::NotReady;
+    };
+    if !response.status().is_success() {
+        return ReadyAnswer::NotReady;
+    }
+    let body = response.body().limit(PROBE_BYTES).await.ok();
+    let section = body.and_then(|body| serde_json::from_slice(&body).ok());
+    section.map_or(ReadyAnswer::Ready, ReadyAnswer::Homes)
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -104,7 +104,7 @@
 }
 
 fn default_drain_limit() -> TimeSpan {
-    TimeSpan::from_millis(30_000)
+    TimeSpan::from_millis(30 * 60 * 1000)
 }
 
 fn default_answer_life() -> TimeSpan {
