--- a/src/bench/capacity.rs
+++ b/src/bench/capacity.rs
@@ -28,8 +28,12 @@
 /// Bytes of opening and closing a connection: seven packets of forty bytes.
 const CONNECTION_BYTES: f64 = 7.0 * 40.0;
 
-/// Bytes of a short HTTP question and its answer, with the headers of TCP and IP.
-const SHORT_CALL_BYTES: f64 = CONNECTION_BYTES + 100.0 + 150.0 + 4.0 * 40.0;
+/// Bytes of a short HTTP question and its answer on a kept connection, with four packets' headers
+/// of TCP and IP.
+const QUESTION_BYTES: f64 = 100.0 + 150.0 + 4.0 * 40.0;
+
+/// The same on a connection of its own.
+const SHORT_CALL_BYTES: f64 = CONNECTION_BYTES + QUESTION_BYTES;
 
 /// Digests of a router to each peer, a second.
 const DIGESTS_PER_SECOND: f64 = 1.0;
@@ -242,8 +246,8 @@
         digests: peers * DIGESTS_PER_SECOND * (digest + pong) * 2.0,
         totals: peers * ANNOUNCEMENTS_PER_SECOND * total_bytes() * 2.0,
         slots: slot_messages * slot_bytes(),
-        probes: probes * SHORT_CALL_BYTES,
-        list: LIST_READS_PER_SECOND * SHORT_CALL_BYTES,
+        probes: probes * QUESTION_BYTES,
+        list: LIST_READS_PER_SECOND * QUESTION_BYTES,
         watches: WATCHES_PER_SECOND * SHORT_CALL_BYTES,
         changes: size.changes / 86_400.0 * (PART_BYTES as f64 + manifest_bytes(size, slopes)),
     };
--- a/src/client.rs
+++ b/src/client.rs
@@ -1,7 +1,7 @@
 //! HTTP clients towards upstreams and the platform.
 //!
-//! Every call goes out on a connection of its own: an idle connection may have been forgotten by
-//! something between the two ends, and a call on it would hang. Redirects are never followed,
+//! Every call of a caller goes out on a connection of its own: an idle connection may have been
+//! forgotten by something between the two ends, and a call on it would hang. Redirects are never followed,
 //! because a followed one could send a call twice.
 
 use std::time::Duration;
@@ -20,11 +20,22 @@
 /// Connections that one client may have open at once.
 const MAX_CONNECTIONS: usize = 4096;
 
+/// How long a connection for short questions is kept.
+const QUESTION_KEEP: Seconds = Seconds(5);
+
+/// Builds a client for short questions that are asked again and again. It keeps its connections:
+/// one that went silent costs one question its time limit and is dropped.
+pub async fn build_question_client(answer: Duration, payload_bytes: usize) -> RouterResult<Client> {
+    build(answer, payload_bytes, QUESTION_KEEP).await
+}
+
 /// Builds a client; `answer` bounds the time to the head of an answer, `payload_bytes` its body.
 pub async fn build_client(answer: Duration, payload_bytes: usize) -> RouterResult<Client> {
-    let connector = Connector::default()
-        .limit(MAX_CONNECTIONS)
-        .keep_alive(Seconds::ONE);
+    build(answer, payload_bytes, Seconds::ONE).await
+}
+
+async fn build(answer: Duration, payload_bytes: usize, keep: Seconds) -> RouterResult<Client> {
+    let connector = Connector::default().limit(MAX_CONNECTIONS).keep_alive(keep);
     let io = IoConfig::new().set_connect_timeout(to_millis(CONNECT_LIMIT));
     ClientBuilder::new()
         .connector::<()>(connector)
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -22,6 +22,7 @@
 use crate::fleet::upstream_view::UpstreamState;
 use crate::fleet::wake_guard::{NewsKind, WakeGuard};
 use crate::ids::{EngineKey, ModelKey, RequestKey, VmId, VmKey};
+use crate::metrics::RouterMetrics;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::peer::{PeerEvent, PeerMailbox, PeerName};
 use crate::policy::refusal::RefusalReason;
@@ -67,6 +68,8 @@
     pub calls: CallController,
     /// How long a drain waits for requests in progress.
     pub drain_limit: Duration,
+    /// Where metrics go.
+    pub metrics: RouterMetrics,
     /// Told how far the router is in its life.
     pub stage: watch::Sender<LifeStage>,
 }
@@ -560,7 +563,7 @@
 
     fn write_status(&self, now: MonoTime) {
         let parts = &self.parts;
-        parts.board.set_status(StatusSection {
+        let section = StatusSection {
             stage: self.stage,
             revision: parts.config.state().revision(),
             rejected: parts.config.rejection(),
@@ -572,7 +575,9 @@
             ledger: parts.calls.ledger_len() as u64,
             handed_ledgers: parts.calls.held_len() as u64,
             pauses: self.guard.pauses(),
-        });
+        };
+        parts.metrics.status(&section);
+        parts.board.set_status(section);
     }
 
     fn write_homes(&self, now: MonoTime) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ids;
 pub mod locator;
 pub mod log;
+pub mod metrics;
 pub mod mono;
 pub mod orders;
 pub mod peer;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot;
 
 use crate::bundle::{ConfigManifest, MANIFEST_KEY, PartDigest, PartStore};
-use crate::client::build_client;
+use crate::client::{build_client, build_question_client};
 use crate::control::{
     ControlEvent, ControlHandle, EngineWord, ListedVm, ManifestOffer, PartsOffer, ProbeTarget,
     VmListWord,
@@ -80,7 +80,7 @@
     clock: ProcessClock,
 ) -> RouterResult<()> {
     let watch = build_client(WATCH_WAIT + WATCH_MARGIN, MAX_VALUE_BYTES).await?;
-    let short = build_client(SHORT_LIMIT, MAX_VALUE_BYTES).await?;
+    let short = build_question_client(SHORT_LIMIT, MAX_VALUE_BYTES).await?;
     let config = ConfigWatch {
         client: watch,
         address: addresses.config_service,
@@ -268,7 +268,7 @@
 ) -> RouterResult<Option<T>> {
     let fault = |text: String| RouterError::step_text(step, url, &text);
     let read = async {
-        let response = client.get(url).force_close().send().await;
+        let response = client.get(url).send().await;
         let response = response.map_err(|error| fault(error.to_string()))?;
         match response.status().as_u16() {
             200 => read_json(response).await.map_err(fault).map(Some),
--- a/src/router.rs
+++ b/src/router.rs
@@ -18,6 +18,7 @@
 use crate::entry::serve_callers;
 use crate::error::{RouterError, RouterResult, StepName};
 use crate::ids::IncarnationId;
+use crate::metrics::RouterMetrics;
 use crate::mono::ProcessClock;
 use crate::orders::run_calls;
 use crate::peer::{FleetKey, PeerIdentity, accept_peers};
@@ -75,6 +76,7 @@
         plans,
         stage,
         listener,
+        metrics: RouterMetrics::open(settings.metrics)?,
         queue,
     };
     spawn_system("control", async move || start.run().await)?;
@@ -130,6 +132,7 @@
     plans: tokio::sync::mpsc::UnboundedSender<CallPlan>,
     stage: watch::Sender<LifeStage>,
     listener: std::net::TcpListener,
+    metrics: RouterMetrics,
     queue: UnboundedReceiver<ControlEvent>,
 }
 
@@ -168,6 +171,7 @@
             peers,
             calls: CallController::new(own.key(), incarnation, ledger, self.plans),
             drain_limit: self.settings.drain_limit.0,
+            metrics: self.metrics,
             stage: self.stage,
             own,
         };
