--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -1,5 +1,8 @@
 //! The loop of the control thread.
 
+mod life;
+mod status;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,18 +11,14 @@
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
-use crate::board::{
-    AccountQueue, Board, HomeEntry, HomeSection, LifeStage, PeerStatus, StatusSection,
-    UpstreamStatus,
-};
+use crate::board::{Board, LifeStage};
 use crate::control::call_controller::CallController;
 use crate::control::config_controller::ConfigController;
-use crate::control::event::{ControlEvent, ExplainAsk, RouteExplanation};
+use crate::control::event::ControlEvent;
 use crate::control::peer_controller::{PeerController, targets_of};
 use crate::control::upstream_controller::UpstreamController;
 use crate::control::work_controller::WorkController;
 use crate::fleet::config_state::ManifestVerdict;
-use crate::fleet::upstream_view::UpstreamState;
 use crate::fleet::wake_guard::{NewsKind, WakeGuard};
 use crate::ids::{EngineKey, ModelKey, RequestKey, VmId, VmKey};
 use crate::metrics::RouterMetrics;
@@ -470,191 +469,4 @@
         };
         self.parts.peers.send_digest(digest);
     }
-
-    fn start_drain(&mut self, now: MonoTime) {
-        if matches!(self.stage, LifeStage::Starting | LifeStage::Serving) {
-            self.set_stage(now, LifeStage::Draining);
-            self.next_digest = now;
-        }
-    }
-
-    fn set_stage(&mut self, now: MonoTime, stage: LifeStage) {
-        spdlog::info!("stage", kv: { stage = format!("{stage:?}").to_lowercase() });
-        self.stage = stage;
-        self.stage_since = now;
-        self.parts.board.set_stage(stage);
-        let _ = self.parts.stage.send(stage);
-    }
-
-    fn advance_stage(&mut self, now: MonoTime) {
-        match self.stage {
-            LifeStage::Starting if self.parts.config.is_settled() => {
-                self.set_stage(now, LifeStage::Serving);
-            }
-            LifeStage::Draining => {
-                let kept = self
-                    .rules()
-                    .map_or(Duration::ZERO, |rules| rules.locator_answer.0);
-                if now.since(self.stage_since) >= kept + LOCATOR_MARGIN {
-                    self.set_stage(now, LifeStage::Closing);
-                    self.parts.calls.seal();
-                }
-            }
-            LifeStage::Closing => self.advance_closing(now),
-            LifeStage::Starting | LifeStage::Serving | LifeStage::Stopped => {}
-        }
-    }
-
-    /// Waits for requests in progress, then for the handover of the ledger.
-    fn advance_closing(&mut self, now: MonoTime) {
-        if let Some(handed_over) = self.handed_over {
-            let peers = self.parts.peers.connected().len();
-            let held = self.parts.calls.holders().len();
-            if held >= peers || now.since(handed_over) >= HANDOVER_LIMIT {
-                spdlog::info!("ledger-handed-over", kv: { holders = held, peers });
-                self.set_stage(now, LifeStage::Stopped);
-            }
-            return;
-        }
-        let waiting: u32 = self.parts.work.scheduler.waiting().iter().sum();
-        let busy = waiting > 0
-            || self.parts.work.scheduler.running_len() > 0
-            || self.parts.calls.running() > 0;
-        let late = now.since(self.stage_since) >= self.parts.drain_limit;
-        if busy && !late {
-            return;
-        }
-        let handover = self.parts.calls.hand_over();
-        for peer in self.parts.peers.connected() {
-            self.parts
-                .peers
-                .send(peer, PeerBody::Ledger(handover.clone()));
-        }
-        self.handed_over = Some(now);
-    }
-
-    fn explain(&self, now: MonoTime, ask: ExplainAsk) {
-        let scheduler = &self.parts.work.scheduler;
-        let mut order = scheduler.preference(ask.model, ask.chat);
-        let of_model = self.parts.upstreams.engines().iter();
-        let closed = of_model
-            .filter(|engine| engine.model.key() == ask.model)
-            .map(|engine| engine.id.key())
-            .filter(|key| !order.contains(key));
-        let closed: Vec<EngineKey> = closed.collect();
-        order.extend(closed);
-        let routes = order.into_iter().filter_map(|key| {
-            let mut engines = self.parts.upstreams.engines().iter();
-            let engine = engines.find(|engine| engine.id.key() == key)?;
-            Some(RouteExplanation {
-                engine: engine.id.clone(),
-                steward: self.vm_named(scheduler.steward_of(key)),
-                running: scheduler.load(key),
-                reason: self.parts.upstreams.state(now, key).to_string(),
-            })
-        });
-        let _ = ask.reply.send(routes.collect());
-    }
-
-    fn vm_named(&self, key: VmKey) -> Option<VmId> {
-        let mut vms = std::iter::once(&self.parts.own).chain(self.parts.peers.targets());
-        vms.find(|vm| vm.key() == key).cloned()
-    }
-
-    fn write_status(&self, now: MonoTime) {
-        let parts = &self.parts;
-        let section = StatusSection {
-            stage: self.stage,
-            revision: parts.config.state().revision(),
-            rejected: parts.config.rejection(),
-            upstreams: self.upstream_status(now),
-            peers: self.peer_status(now),
-            waiting: parts.work.scheduler.waiting(),
-            queues: self.account_queues(),
-            running: parts.work.scheduler.running_len() as u64,
-            ledger: parts.calls.ledger_len() as u64,
-            handed_ledgers: parts.calls.held_len() as u64,
-            pauses: self.guard.pauses(),
-        };
-        parts.metrics.status(&section);
-        parts.board.set_status(section);
-    }
-
-    fn write_homes(&self, now: MonoTime) {
-        let upstreams = &self.parts.upstreams;
-        let open = upstreams
-            .engines()
-            .iter()
-            .filter(|engine| upstreams.state(now, engine.id.key()) == UpstreamState::Open);
-        let homes = open.filter_map(|engine| {
-            let steward = self.parts.work.scheduler.steward_of(engine.id.key());
-            Some(HomeEntry {
-                engine: engine.id.key(),
-                model: engine.model.key(),
-                slots: engine.slots,
-                steward: self.vm_named(steward)?,
-            })
-        });
-        self.parts
-            .board
-            .set_homes(HomeSection::new(homes.collect()));
-    }
-
-    fn upstream_status(&self, now: MonoTime) -> Vec<UpstreamStatus> {
-        let parts = &self.parts;
-        let engines = parts.upstreams.engines().iter();
-        engines
-            .map(|engine| {
-                let key = engine.id.key();
-                let age = parts.upstreams.report_age(now, key);
-                UpstreamStatus {
-                    engine: engine.id.clone(),
-                    model: engine.model.clone(),
-                    state: parts.upstreams.state(now, key),
-                    running: parts.work.scheduler.load(key),
-                    slots: engine.slots,
-                    report_age_ms: age.map(|age| age.as_millis() as u64),
-                    steward: parts.work.scheduler.steward_of(key) == parts.own.key(),
-                }
-            })
-            .collect()
-    }
-
-    fn peer_status(&self, now: MonoTime) -> Vec<PeerStatus> {
-        let peers = &self.parts.peers;
-        let mut status: Vec<PeerStatus> = peers
-            .targets()
-            .map(|vm| {
-                let record = peers.view().record(vm.key());
-                PeerStatus {
-                    vm: vm.clone(),
-                    answers: peers.view().answers(now, vm.key()),
-                    draining: record.is_some_and(|record| record.draining),
-                    revision: record.map(|record| record.revision).unwrap_or_default(),
-                }
-            })
-            .collect();
-        status.sort_by(|a, b| a.vm.cmp(&b.vm));
-        status
-    }
-
-    fn account_queues(&self) -> Vec<AccountQueue> {
-        let Some(accepted) = self.parts.config.state().accepted() else {
-            return Vec::new();
-        };
-        let waiting = self.parts.work.waiting_accounts();
-        if waiting.is_empty() {
-            return Vec::new();
-        }
-        let accounts = accepted.bundle.register.accounts.iter();
-        accounts
-            .filter_map(|account| {
-                let waiting = *waiting.get(&account.id.key())?;
-                Some(AccountQueue {
-                    account: account.id.clone(),
-                    waiting,
-                })
-            })
-            .collect()
-    }
 }
--- a/src/policy/request_scheduler.rs
+++ b/src/policy/request_scheduler.rs
@@ -4,6 +4,10 @@
 //! the slots of its own engines and asks the steward for the others; when the steward does not
 //! answer, it falls back to its own share of the load bound, which needs no message.
 
+mod scheduler_step;
+mod slot_binding;
+mod slot_room;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,16 +17,17 @@
 use crate::policy::engine_pool::EnginePool;
 use crate::policy::load_bound::LoadBound;
 use crate::policy::placement::rendezvous_order;
-use crate::policy::rank_shares::{RankCounts, RankDemand};
+use crate::policy::rank_shares::RankCounts;
 use crate::policy::refusal::{RefusalReason, WorkRefusal};
-use crate::policy::slot_asks::{ASK_TIMEOUT, DENY_PAUSE, PendingAsk, SlotAsks};
+use crate::policy::slot_asks::{ASK_TIMEOUT, DENY_PAUSE, SlotAsks};
 use crate::policy::slot_steward::{EngineLoad, SlotAnswer, SlotKind, SlotSteward};
 use crate::policy::slot_waiters::{SlotWaiter, SlotWaiters};
 use crate::policy::steward_map::StewardMap;
 use crate::policy::work_item::WorkItem;
-use crate::rules::{RuleBook, WorkRank};
+use crate::rules::RuleBook;
 
 pub use crate::policy::engine_pool::PoolEngine;
+pub use scheduler_step::SchedulerStep;
 
 /// The request of an ask that is for whichever request waits.
 pub const ANY_REQUEST: RequestKey = RequestKey(0);
@@ -54,68 +59,6 @@
 /// Share of the longest wait up to which a queue takes requests.
 const QUEUE_SAFETY: f64 = 0.7;
 
-/// What the scheduler wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum SchedulerStep {
-    /// Send the request to the engine.
-    Run {
-        /// The request.
-        item: WorkItem,
-        /// Where it goes.
-        engine: EngineKey,
-    },
-    /// Ask the steward of an engine for a slot.
-    Ask {
-        /// The request that wants it, or [`ANY_REQUEST`].
-        request: RequestKey,
-        /// Its rank.
-        rank: WorkRank,
-        /// The engine.
-        engine: EngineKey,
-        /// The router that grants its slots.
-        steward: VmKey,
-        /// Whether the steward is to answer once there is a slot.
-        wait: bool,
-    },
-    /// Tell a router that waited that it has a slot now.
-    Grant {
-        /// The engine.
-        engine: EngineKey,
-        /// The router.
-        router: VmKey,
-        /// The slot.
-        kind: SlotKind,
-    },
-    /// Give a slot back to the steward that granted it.
-    Release {
-        /// The engine.
-        engine: EngineKey,
-        /// The router that granted the slot.
-        steward: VmKey,
-        /// The slot.
-        kind: SlotKind,
-    },
-    /// Tell every other router how many requests this one runs.
-    Announce {
-        /// The model.
-        model: ModelKey,
-        /// Requests of this router in progress.
-        running: u32,
-    },
-    /// Stop a running request at its engine, keeping its place in the answer.
-    Preempt {
-        /// The request.
-        request: RequestKey,
-    },
-    /// Tell the caller that the request did not run.
-    Refuse {
-        /// The request.
-        item: WorkItem,
-        /// Why.
-        refusal: WorkRefusal,
-    },
-}
-
 /// A router's part of a model's work.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct RouterModel {
@@ -277,29 +220,6 @@
         Ok(())
     }
 
-    /// Slots of the open engines that this router is the steward of.
-    fn own_slots(&self, model: ModelKey) -> u32 {
-        let Some(pool) = self.pools.get(&model) else {
-            return 0;
-        };
-        let own = pool
-            .open_engines()
-            .filter(|member| self.steward_of(member.key) == self.own);
-        own.map(|member| member.slots).sum()
-    }
-
-    /// How many of those slots are free.
-    fn own_free(&self, model: ModelKey) -> u32 {
-        let Some(pool) = self.pools.get(&model) else {
-            return 0;
-        };
-        let own = pool
-            .open_engines()
-            .filter(|member| self.steward_of(member.key) == self.own);
-        own.map(|member| member.slots.saturating_sub(self.steward.load(member.key)))
-            .sum()
-    }
-
     /// Binds as many waiting requests as the slots allow.
     pub fn poll(&mut self, now: MonoTime) -> Vec<SchedulerStep> {
         let mut steps = Vec::new();
@@ -373,16 +293,6 @@
         Some(SlotAnswer::Full)
     }
 
-    /// Whether work of this router, as urgent as `rank`, waits for engines like this one.
-    fn wants(&self, engine: EngineKey, rank: WorkRank) -> bool {
-        let pool = self
-            .pool_of
-            .get(&engine)
-            .and_then(|model| self.pools.get(model));
-        let waiting = pool.map(EnginePool::waiting).unwrap_or_default();
-        waiting[..=rank.index()].iter().any(|&count| count > 0)
-    }
-
     /// Requests that wait at this router.
     pub fn waiting_total(&self) -> u32 {
         self.waiting().iter().sum()
@@ -443,13 +353,6 @@
         pool.map_or(0, |pool| pool.running)
     }
 
-    /// Requests in progress on the engines of a model, from all routers.
-    fn total(&self, model: ModelKey) -> u32 {
-        let own = self.pools.get(&model).map_or(0, |pool| pool.running);
-        let others = self.totals.iter().filter(|(part, _)| part.model == model);
-        own + others.map(|(_, running)| running).sum::<u32>()
-    }
-
     /// Counts a request as ended. Its slot serves the next request, or goes back.
     pub fn finish(&mut self, now: MonoTime, request: RequestKey) -> Option<SchedulerStep> {
         let ended = self.running.remove(&request)?;
@@ -564,430 +467,6 @@
         }
     }
 
-    fn poll_pool(&mut self, now: MonoTime, model: ModelKey, steps: &mut Vec<SchedulerStep>) {
-        loop {
-            let Some(demand) = self.demand(now, model) else {
-                return;
-            };
-            let order = demand.serving_order(&self.rules.ranks);
-            let served = order
-                .iter()
-                .find_map(|&rank| self.serve_rank(now, model, rank));
-            if let Some(step) = served {
-                steps.push(step);
-                continue;
-            }
-            for &rank in &order {
-                self.preempt_for(model, rank, &demand, steps);
-            }
-            if let Some(&rank) = order.first() {
-                self.wish_for_slots(now, model, rank, steps);
-            }
-            return;
-        }
-    }
-
-    /// What each rank has and asks for on this router's part of a model's engines.
-    fn demand(&mut self, now: MonoTime, model: ModelKey) -> Option<RankDemand> {
-        let pool = self.pools.get_mut(&model)?;
-        pool.note_demand(now);
-        let pool = self.pools.get(&model)?;
-        Some(RankDemand {
-            waiting: pool.waiting(),
-            held: pool.held,
-            recent: pool.recent(),
-            slots: self.own_slots(model),
-            free: self.own_free(model),
-        })
-    }
-
-    /// Serves the first request of a rank, if any engine has room for it.
-    fn serve_rank(
-        &mut self,
-        now: MonoTime,
-        model: ModelKey,
-        rank: WorkRank,
-    ) -> Option<SchedulerStep> {
-        if let Some(step) = self.resume_paused(now, model, rank) {
-            return Some(step);
-        }
-        let head = self.pools.get(&model)?.peek(rank)?;
-        let choice = self.choose(now, head, &[]);
-        if matches!(choice, SlotChoice::Nothing) {
-            return None;
-        }
-        let pool = self.pools.get_mut(&model)?;
-        let item = pool.pop(rank)?;
-        pool.held[rank.index()] += 1;
-        self.pursue(now, item, choice, Vec::new())
-    }
-
-    /// Goes on with a begun request of a rank whose engine has room, or is leaving and finishes
-    /// what it began.
-    fn resume_paused(
-        &mut self,
-        now: MonoTime,
-        model: ModelKey,
-        rank: WorkRank,
-    ) -> Option<SchedulerStep> {
-        let pool = self.pools.get(&model)?;
-        let engine_of = |item: &WorkItem| item.pinned.filter(|_| item.rank == rank);
-        let position = pool.paused().iter().position(|item| {
-            engine_of(item).is_some_and(|engine| {
-                pool.open_engine(engine).is_none() || self.room(engine, rank).is_some()
-            })
-        })?;
-        let engine = pool.paused()[position].pinned?;
-        let kind = self.room(engine, rank).unwrap_or(SlotKind::Shared);
-        let pool = self.pools.get_mut(&model)?;
-        let item = pool.resume(position);
-        pool.held[rank.index()] += 1;
-        self.pursue(now, item, SlotChoice::Take(engine, kind), Vec::new())
-    }
-
-    /// Stops long work beyond its floor for more urgent work that waits within its share.
-    ///
-    /// The youngest goes first, and none more than a few times, so that all of it finishes.
-    fn preempt_for(
-        &mut self,
-        model: ModelKey,
-        rank: WorkRank,
-        demand: &RankDemand,
-        steps: &mut Vec<SchedulerStep>,
-    ) {
-        let Some(pool) = self.pools.get(&model) else {
-            return;
-        };
-        let stopping = self
-            .running
-            .values()
-            .filter(|running| running.stopping)
-            .count();
-        let wanted = demand.waiting[rank.index()] as usize;
-        if stopping >= wanted || !demand.may_preempt(&self.rules.ranks, rank) {
-            return;
-        }
-        let may_stop = |running: &&mut RunningItem| {
-            running.item.rank == WorkRank::Long
-                && running.item.model == model
-                && running.slot.granted_by.is_none()
-                && running.item.preemptions < MAX_PREEMPTIONS
-                && !running.stopping
-                && pool.open_engine(running.slot.engine).is_some()
-        };
-        let victims = self.running.values_mut().filter(may_stop);
-        if let Some(victim) = victims.max_by_key(|running| running.since) {
-            victim.stopping = true;
-            steps.push(SchedulerStep::Preempt {
-                request: victim.item.request,
-            });
-        }
-    }
-
-    /// Takes places in the lines of stewards for a rank that no engine has room for.
-    fn wish_for_slots(
-        &mut self,
-        now: MonoTime,
-        model: ModelKey,
-        rank: WorkRank,
-        steps: &mut Vec<SchedulerStep>,
-    ) {
-        let Some(pool) = self.pools.get(&model) else {
-            return;
-        };
-        if !self.asks.may_wish() || !self.is_starved(model, pool) {
-            return;
-        }
-        let Some(head) = pool.peek(rank) else { return };
-        for engine in rendezvous_order(head.chat.0, pool.choices()) {
-            let steward = self.steward_of(engine);
-            if steward != self.own && self.asks.wish(now, engine, steward) {
-                steps.push(SchedulerStep::Ask {
-                    request: ANY_REQUEST,
-                    rank,
-                    engine,
-                    steward,
-                    wait: true,
-                });
-            }
-        }
-    }
-
-    /// Whether this router holds much less than the slots that it is the steward of, or has none.
-    fn is_starved(&self, model: ModelKey, pool: &EnginePool) -> bool {
-        let own_slots = self.own_slots(model);
-        let held: u32 = pool.held.iter().sum();
-        own_slots == 0 || f64::from(held) < f64::from(own_slots) * STARVED_PART
-    }
-
-    /// Grants free slots of this steward's engines to the routers that wait for them.
-    fn serve_waiters(&mut self, now: MonoTime, steps: &mut Vec<SchedulerStep>) {
-        for engine in self.waiters.engines() {
-            let own_waits = self
-                .pool_of
-                .get(&engine)
-                .and_then(|model| self.pools.get(model));
-            let own_waits = own_waits.is_some_and(|pool| pool.waiting().iter().any(|&n| n > 0));
-            while let Some(waiter) = self.waiters.first(engine) {
-                if own_waits && !self.waiters.is_waiters_turn(engine) {
-                    break;
-                }
-                let Some(kind) = self.room(engine, waiter.rank) else {
-                    break;
-                };
-                self.waiters.pop(engine);
-                let router = waiter.router;
-                self.steward.take(now, engine, router, kind);
-                steps.push(SchedulerStep::Grant {
-                    engine,
-                    router,
-                    kind,
-                });
-            }
-        }
-    }
-
-    /// Gives a slot that is free again to the next request that may use it, else back.
-    fn use_again(&mut self, now: MonoTime, slot: HeldSlot) -> Option<SchedulerStep> {
-        let steward = slot.granted_by?;
-        let kept = slot.uses < MAX_SLOT_USES && steward == self.steward_of(slot.engine);
-        if kept && let Some(item) = self.next_for(now, slot) {
-            return Some(self.run(now, item, slot));
-        }
-        Some(SchedulerStep::Release {
-            engine: slot.engine,
-            steward,
-            kind: slot.kind,
-        })
-    }
-
-    /// Takes the next request that may use a slot, if the engine is within its bound.
-    fn next_for(&mut self, now: MonoTime, slot: HeldSlot) -> Option<WorkItem> {
-        let model = *self.pool_of.get(&slot.engine)?;
-        let pool = self.pools.get(&model)?;
-        let member = pool.open_engine(slot.engine)?;
-        let total = self.total(member.model);
-        let limit = self.bound.limit(total, pool.capacity_share(member));
-        if self.steward.load(slot.engine) >= limit {
-            return None;
-        }
-        let mut demand = self.demand(now, model)?;
-        demand.free += 1;
-        let order = demand.serving_order(&self.rules.ranks);
-        let fits = |rank: &WorkRank| slot.kind == SlotKind::Shared || *rank == WorkRank::Quick;
-        let rank = order.into_iter().find(fits)?;
-        let pool = self.pools.get_mut(&model)?;
-        let item = pool.pop(rank)?;
-        pool.held[rank.index()] += 1;
-        Some(item)
-    }
-
-    /// Runs the request or asks for its slot.
-    fn pursue(
-        &mut self,
-        now: MonoTime,
-        item: WorkItem,
-        choice: SlotChoice,
-        tried: Vec<EngineKey>,
-    ) -> Option<SchedulerStep> {
-        match choice {
-            SlotChoice::Take(engine, kind) => {
-                self.waiters.own_took(engine);
-                let slot = HeldSlot {
-                    engine,
-                    kind,
-                    granted_by: None,
-                    uses: 0,
-                };
-                Some(self.run(now, item, slot))
-            }
-            SlotChoice::Ask(engine, steward) => {
-                let step = SchedulerStep::Ask {
-                    request: item.request,
-                    rank: item.rank,
-                    engine,
-                    steward,
-                    wait: false,
-                };
-                let since = now;
-                self.asks.add(PendingAsk {
-                    item,
-                    engine,
-                    since,
-                    tried,
-                });
-                Some(step)
-            }
-            SlotChoice::Nothing => {
-                self.unhold(&item);
-                if let Some(pool) = self.pools.get_mut(&item.model) {
-                    pool.push_front(item);
-                }
-                None
-            }
-        }
-    }
-
-    /// The next engine for a request whose ask was denied.
-    fn next_choice(&mut self, now: MonoTime, mut ask: PendingAsk) -> Option<SchedulerStep> {
-        ask.tried.push(ask.engine);
-        let choice = self.choose(now, &ask.item, &ask.tried);
-        self.pursue(now, ask.item, choice, ask.tried)
-    }
-
-    /// Engines in the order in which a request tries them: its home, then the engines whose slots
-    /// this router grants, which cost no message, then the others.
-    fn trial_order(&self, pool: &EnginePool, item: &WorkItem) -> Vec<EngineKey> {
-        let mut order = rendezvous_order(item.chat.0, pool.choices());
-        let Some((_, others)) = order.split_first_mut() else {
-            return order;
-        };
-        others.sort_by_key(|&engine| self.steward_of(engine) != self.own);
-        if let Some(avoid) = item.avoid {
-            order.sort_by_key(|&engine| engine == avoid);
-        }
-        order
-    }
-
-    fn choose(&self, now: MonoTime, item: &WorkItem, tried: &[EngineKey]) -> SlotChoice {
-        let Some(pool) = self.pools.get(&item.model) else {
-            return SlotChoice::Nothing;
-        };
-        let order = self.trial_order(pool, item);
-        let untried: Vec<EngineKey> = order
-            .into_iter()
-            .filter(|engine| !tried.contains(engine))
-            .collect();
-        let choices = untried
-            .iter()
-            .map(|&engine| self.choice_at(now, engine, item.rank));
-        let mut tight = SlotChoice::Nothing;
-        for choice in choices {
-            match choice {
-                SlotChoice::Nothing => {}
-                SlotChoice::Ask(engine, _) if self.is_tight(engine) => {
-                    if matches!(tight, SlotChoice::Nothing) {
-                        tight = choice;
-                    }
-                }
-                SlotChoice::Take(..) | SlotChoice::Ask(..) => return choice,
-            }
-        }
-        tight
-    }
-
-    fn choice_at(&self, now: MonoTime, engine: EngineKey, rank: WorkRank) -> SlotChoice {
-        let Some(kind) = self.room(engine, rank) else {
-            return SlotChoice::Nothing;
-        };
-        let steward = self.steward_of(engine);
-        let own = steward == self.own;
-        if own && !self.waiters.is_waiters_turn(engine) {
-            SlotChoice::Take(engine, kind)
-        } else if !own && !self.asks.is_denied(now, engine) && !self.is_busy_for(steward, rank) {
-            SlotChoice::Ask(engine, steward)
-        } else {
-            SlotChoice::Nothing
-        }
-    }
-
-    /// Whether a steward has work waiting that goes before work of this rank. Quick questions are
-    /// worth asking for all the same: it may have headroom.
-    fn is_busy_for(&self, steward: VmKey, rank: WorkRank) -> bool {
-        rank != WorkRank::Quick && self.busy.contains(&steward)
-    }
-
-    /// Whether one more request would fill an engine, as far as this router knows. An ask for
-    /// such a slot is likely to be denied.
-    fn is_tight(&self, engine: EngineKey) -> bool {
-        let pool = self
-            .pool_of
-            .get(&engine)
-            .and_then(|model| self.pools.get(model));
-        let member = pool.and_then(|pool| pool.open_engine(engine).map(|member| (pool, member)));
-        let Some((pool, member)) = member else {
-            return true;
-        };
-        let limit = self
-            .bound
-            .limit(self.total(member.model), pool.capacity_share(member));
-        self.steward.load(engine) + 1 >= limit.min(member.slots)
-    }
-
-    /// The slot that an engine has for a rank, within its slots and the load bound.
-    fn room(&self, engine: EngineKey, rank: WorkRank) -> Option<SlotKind> {
-        let pool = self.pools.get(self.pool_of.get(&engine)?)?;
-        let member = pool.open_engine(engine)?;
-        let load = self.steward.load(engine);
-        let total = self.total(member.model);
-        if load >= self.bound.limit(total, pool.capacity_share(member)) {
-            return None;
-        }
-        self.free_slot(member, rank)
-    }
-
-    /// The slot that an engine has for a rank, whatever the load bound says.
-    fn free_slot(&self, member: &PoolEngine, rank: WorkRank) -> Option<SlotKind> {
-        let load = self.steward.load(member.key);
-        let headroom = self.steward.headroom(member.key);
-        let kept = member.headroom_slots(self.rules.headroom);
-        if load - headroom < member.slots - kept {
-            Some(SlotKind::Shared)
-        } else if rank == WorkRank::Quick && load < member.slots {
-            Some(SlotKind::Headroom)
-        } else {
-            None
-        }
-    }
-
-    /// The slot that this router may take by its own share of the bound, without a grant.
-    fn room_alone(&self, engine: EngineKey, rank: WorkRank) -> Option<SlotKind> {
-        let pool = self.pools.get(self.pool_of.get(&engine)?)?;
-        let member = pool.open_engine(engine)?;
-        let own = |key| self.steward.load_of(key, self.own).running;
-        let total = pool.open_engines().map(|member| own(member.key)).sum();
-        let limit = self
-            .bound
-            .isolated_limit(total, pool.capacity_share(member));
-        if own(engine) >= limit {
-            return None;
-        }
-        self.free_slot(member, rank)
-    }
-
-    fn run(&mut self, now: MonoTime, item: WorkItem, mut slot: HeldSlot) -> SchedulerStep {
-        slot.uses += 1;
-        let engine = slot.engine;
-        self.steward.take(now, engine, self.own, slot.kind);
-        if let Some(pool) = self.pools.get_mut(&item.model) {
-            pool.running += 1;
-        }
-        let running = RunningItem {
-            item: item.clone(),
-            slot,
-            since: now,
-            stopping: false,
-        };
-        self.running.insert(item.request, running);
-        SchedulerStep::Run { item, engine }
-    }
-
-    fn free(&mut self, now: MonoTime, ended: &RunningItem) {
-        let slot = ended.slot;
-        self.steward.release(now, slot.engine, self.own, slot.kind);
-        if let Some(pool) = self.pools.get_mut(&ended.item.model) {
-            pool.running = pool.running.saturating_sub(1);
-        }
-        self.unhold(&ended.item);
-    }
-
-    fn unhold(&mut self, item: &WorkItem) {
-        if let Some(pool) = self.pools.get_mut(&item.model) {
-            let held = &mut pool.held[item.rank.index()];
-            *held = held.saturating_sub(1);
-        }
-    }
-
     fn expire(&mut self, now: MonoTime, steps: &mut Vec<SchedulerStep>) {
         let rules = Arc::clone(&self.rules);
         for pool in self.pools.values_mut() {
--- /dev/null
+++ b/tests/preempted_work.rs
@@ -0,0 +1,57 @@
+//! Long work gives its slot up to a quick question, goes on where it stopped, and is whole.
+
+mod fleet;
+
+use fleet::caller::{ChatAnswer, ChatAsk, TestCaller};
+use fleet::{FleetPlan, TestFleet, wait_for};
+use futures_util::future::join_all;
+use ntex::rt::JoinHandle;
+use serde_json::json;
+
+fn held(fleet: &TestFleet, chat: &str, rank: &str) -> JoinHandle<ChatAnswer> {
+    let caller: TestCaller = fleet.caller();
+    let entry = fleet.entry(0);
+    let ask = ChatAsk::new(chat, 6)
+        .rank(rank)
+        .fault(json!({"hold_at": 2}));
+    ntex::rt::spawn(async move { caller.chat(entry, &ask).await })
+}
+
+#[ntex::test]
+async fn resumed_whole() {
+    let plan = FleetPlan::new("resumed_whole")
+        .routers(1)
+        .engines(1)
+        .slots(4);
+    let fleet = TestFleet::start(plan).await;
+    let long: Vec<_> = (0..3)
+        .map(|n| held(&fleet, &format!("long-{n}"), "long"))
+        .collect();
+    fleet
+        .wait_status(0, "long work runs", |status| status.running == 3)
+        .await;
+    let quick = held(&fleet, "quick-held", "quick");
+    fleet
+        .wait_status(0, "headroom is taken", |status| status.running == 4)
+        .await;
+    // Every slot is taken; a question that comes now is served at the cost of long work.
+    let answer = fleet
+        .caller()
+        .chat(fleet.entry(0), &ChatAsk::new("quick-now", 3))
+        .await;
+    assert!(answer.is_whole(3), "{answer:?}");
+    let resumed = wait_for("long work goes on", async || {
+        let runs = fleet.engine_record(0).await;
+        runs.into_iter().find(|run| run.resume_from > 0)
+    })
+    .await;
+    assert_eq!(resumed.resume_from, 2);
+    fleet
+        .control(fleet.engines[0].address, "release", &())
+        .await;
+    for answer in join_all(long).await {
+        let answer = answer.expect("caller");
+        assert!(answer.is_whole(6), "{answer:?}");
+    }
+    assert!(quick.await.expect("caller").is_whole(6));
+}
