--- a/src/bench.rs
+++ b/src/bench.rs
@@ -5,6 +5,7 @@
 
 pub mod baseline_policy;
 pub mod capacity;
+pub mod doubled_order;
 pub mod engine_model;
 pub mod event_queue;
 pub mod fleet_policy;
--- a/src/bench/baseline_policy.rs
+++ b/src/bench/baseline_policy.rs
@@ -8,12 +8,12 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::bench::fleet_policy::{FleetPolicy, FleetTruth, PolicyAction, RouterIndex};
-use crate::ids::{EngineKey, RequestKey};
+use crate::ids::EngineKey;
 use crate::mono::MonoTime;
 use crate::policy::placement::{WeightedChoice, rendezvous_order};
 use crate::policy::request_scheduler::PoolEngine;
 use crate::policy::work_item::WorkItem;
-use crate::wire::PeerBody;
+use crate::rules::WorkRank;
 
 /// Age of the load reports that [`PlainChoice::LeastLoaded`] goes by.
 const REPORT_LAG: Duration = Duration::from_secs(1);
@@ -103,30 +103,13 @@
             .collect()
     }
 
-    fn finish(&mut self, _: MonoTime, _: RouterIndex, _: RequestKey) -> Vec<PolicyAction> {
-        Vec::new()
-    }
-
-    fn preempted(&mut self, _: MonoTime, _: RouterIndex, _: RequestKey) -> Vec<PolicyAction> {
-        Vec::new()
-    }
-
-    fn deliver(
-        &mut self,
-        _: MonoTime,
-        _: RouterIndex,
-        _: RouterIndex,
-        _: PeerBody,
-    ) -> Vec<PolicyAction> {
-        Vec::new()
-    }
-
-    fn tick(&mut self, _: MonoTime) -> Vec<PolicyAction> {
-        Vec::new()
-    }
-
     fn set_engines(&mut self, router: RouterIndex, engines: &[PoolEngine]) {
         let open = engines.iter().filter(|engine| engine.open);
         self.engines[router.0] = open.map(|engine| engine.key).collect();
     }
+
+    /// First in, first out: no rank goes before another.
+    fn priority(&self, _: WorkRank) -> u8 {
+        0
+    }
 }
--- a/src/bench/fleet_policy.rs
+++ b/src/bench/fleet_policy.rs
@@ -5,6 +5,7 @@
 use crate::policy::refusal::WorkRefusal;
 use crate::policy::request_scheduler::PoolEngine;
 use crate::policy::work_item::WorkItem;
+use crate::rules::WorkRank;
 use crate::wire::PeerBody;
 
 /// Position of a router in the simulated fleet.
@@ -73,31 +74,44 @@
     /// A request of a router ended.
     fn finish(
         &mut self,
-        now: MonoTime,
-        router: RouterIndex,
-        request: RequestKey,
-    ) -> Vec<PolicyAction>;
+        _now: MonoTime,
+        _router: RouterIndex,
+        _request: RequestKey,
+    ) -> Vec<PolicyAction> {
+        Vec::new()
+    }
 
     /// A request that was to stop has given its slot up.
     fn preempted(
         &mut self,
-        now: MonoTime,
-        router: RouterIndex,
-        request: RequestKey,
-    ) -> Vec<PolicyAction>;
+        _now: MonoTime,
+        _router: RouterIndex,
+        _request: RequestKey,
+    ) -> Vec<PolicyAction> {
+        Vec::new()
+    }
 
     /// A message reaches a router.
     fn deliver(
         &mut self,
-        now: MonoTime,
-        from: RouterIndex,
-        to: RouterIndex,
-        body: PeerBody,
-    ) -> Vec<PolicyAction>;
+        _now: MonoTime,
+        _from: RouterIndex,
+        _to: RouterIndex,
+        _body: PeerBody,
+    ) -> Vec<PolicyAction> {
+        Vec::new()
+    }
 
     /// Time passes; called at a fixed interval.
-    fn tick(&mut self, now: MonoTime) -> Vec<PolicyAction>;
+    fn tick(&mut self, _now: MonoTime) -> Vec<PolicyAction> {
+        Vec::new()
+    }
 
     /// A router sees a new list of engines.
     fn set_engines(&mut self, router: RouterIndex, engines: &[PoolEngine]);
+
+    /// The priority that engines are given; a smaller number is more urgent.
+    fn priority(&self, rank: WorkRank) -> u8 {
+        rank.engine_priority()
+    }
 }
--- a/src/bench/fleet_sim.rs
+++ b/src/bench/fleet_sim.rs
@@ -201,7 +201,7 @@
             chat,
             prompt: sim.prompt,
             answer: sim.answer,
-            priority: sim.item.rank.engine_priority(),
+            priority: self.policy.priority(sim.item.rank),
         };
         self.record.start(index_of(request), now, engine);
         let alive = self.fleet.alive.contains(&engine);
--- a/src/bench/oracle_policy.rs
+++ b/src/bench/oracle_policy.rs
@@ -10,7 +10,6 @@
 use crate::policy::request_scheduler::PoolEngine;
 use crate::policy::work_item::WorkItem;
 use crate::rules::RuleBook;
-use crate::wire::PeerBody;
 
 /// Sends each request to the engine that has most of its prompt cached and room under the bound.
 pub struct OraclePolicy {
@@ -88,24 +87,6 @@
         Vec::new()
     }
 
-    fn preempted(&mut self, _: MonoTime, _: RouterIndex, _: RequestKey) -> Vec<PolicyAction> {
-        Vec::new()
-    }
-
-    fn deliver(
-        &mut self,
-        _: MonoTime,
-        _: RouterIndex,
-        _: RouterIndex,
-        _: PeerBody,
-    ) -> Vec<PolicyAction> {
-        Vec::new()
-    }
-
-    fn tick(&mut self, _: MonoTime) -> Vec<PolicyAction> {
-        Vec::new()
-    }
-
     fn set_engines(&mut self, _: RouterIndex, engines: &[PoolEngine]) {
         self.engines = engines
             .iter()
--- a/src/bench/scenario.rs
+++ b/src/bench/scenario.rs
@@ -1,7 +1,7 @@
 //! The scenarios by name.
 
 use crate::bench::report::ScenarioReport;
-use crate::bench::{flood, load_bound, ranks, reuse};
+use crate::bench::{doubled_order, flood, load_bound, ranks, reuse};
 
 /// A scenario that can be run.
 #[derive(Clone, Copy)]
@@ -16,6 +16,11 @@
 
 /// Every scenario.
 pub const SCENARIOS: &[BenchScenario] = &[
+    BenchScenario {
+        name: "doubled-order",
+        about: "copies of orders while routers crash and drain",
+        run: doubled_order::run,
+    },
     BenchScenario {
         name: "ranks",
         about: "service by rank at 90% and 130% of capacity",
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -14,6 +14,9 @@
     /// Waits before the answer until it is released.
     #[serde(default)]
     hold: bool,
+    /// Points the caller to the same address again.
+    #[serde(default)]
+    redirect: bool,
 }
 
 #[derive(Debug, Default)]
@@ -38,13 +41,18 @@
 
 async fn call(body: Bytes, state: web::types::State<Arc<ServiceState>>) -> HttpResponse {
     let text = String::from_utf8_lossy(&body).into_owned();
-    let hold = serde_json::from_str::<CallBody>(&text).is_ok_and(|body| body.hold);
+    let plan = serde_json::from_str::<CallBody>(&text).unwrap_or_default();
     let number = {
         let mut calls = state.calls.lock().unwrap_or_else(PoisonError::into_inner);
         calls.push(text);
         calls.len()
     };
-    if hold {
+    if plan.redirect {
+        return HttpResponse::TemporaryRedirect()
+            .header("location", "/v1/services/again")
+            .finish();
+    }
+    if plan.hold {
         state.wait_for_release().await;
     }
     HttpResponse::Ok().body(format!("{{\"paid\":{number}}}"))
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -197,3 +197,18 @@
     assert_eq!(never.outcome, "not_run", "{never:?}");
     assert_eq!(fleet.service_record().await.len(), 1);
 }
+
+#[ntex::test]
+async fn redirect_not_followed() {
+    let fleet = TestFleet::start(plan("redirect_not_followed")).await;
+    let caller = fleet.caller();
+    let ticket = caller.ticket(fleet.entry(0)).await;
+    let order = r#"{"order":"one","redirect":true}"#;
+    let answer = caller.order(fleet.entry(0), &ticket, order).await;
+    assert_eq!(
+        (answer.status, answer.outcome.as_str()),
+        (307, "done"),
+        "{answer:?}"
+    );
+    assert_eq!(fleet.service_record().await.len(), 1);
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -14,6 +14,7 @@
 use hawthornrouter::bundle::{ConfigBundle, MANIFEST_KEY};
 use hawthornrouter::client::build_client;
 use hawthornrouter::ids::RevisionNumber;
+use hawthornrouter::locator::EntryAnswer;
 use hawthornrouter::register::{
     AccountEntry, AssetRegister, DataCenterEntry, EngineEntry, ModelEntry, ServiceEntry, VmEntry,
     token_digest,
@@ -509,6 +510,22 @@
         assert!(response.expect("control").status().is_success(), "{path}");
     }
 
+    /// Waits until an engine has run something.
+    pub async fn wait_runs(&self, index: usize) {
+        wait_for("request runs", async || {
+            (!self.engine_record(index).await.is_empty()).then_some(())
+        })
+        .await;
+    }
+
+    /// What the locator answers for a chat; none when it names nobody.
+    pub async fn locate(&self, chat: &str) -> Option<EntryAnswer> {
+        let url = format!("http://{}/v1/entry?chat={chat}", self.locator.address);
+        let response = self.client.get(&url).force_close().send().await.ok()?;
+        let body = response.body().await.ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+
     /// Calls that reached the service.
     pub async fn service_record(&self) -> Vec<String> {
         let url = format!("http://{}/record", self.service.address);
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -6,7 +6,6 @@
 use fleet::{FleetPlan, TestFleet, wait_for};
 use futures_util::future::join_all;
 use hawthornrouter::board::LifeStage;
-use hawthornrouter::locator::EntryAnswer;
 use serde_json::json;
 
 #[ntex::test]
@@ -58,20 +57,20 @@
 #[ntex::test]
 async fn locator_leaves_drained() {
     let fleet = TestFleet::start(FleetPlan::new("locator_leaves_drained")).await;
-    let url = format!("http://{}/v1/entry?chat=chat-1", fleet.locator.address);
-    let named = async || {
-        let response = fleet.client.get(&url).force_close().send().await.ok()?;
-        let body = response.body().await.ok()?;
-        serde_json::from_slice::<EntryAnswer>(&body).ok()
+    let both = async || {
+        fleet
+            .locate("chat-1")
+            .await
+            .filter(|answer| answer.others.len() == 1)
     };
-    let both = async || named().await.filter(|answer| answer.others.len() == 1);
     let before = wait_for("locator names both", both).await;
     let index = (0..2)
         .find(|&index| fleet.entry(index) == before.address)
         .expect("router");
     fleet.routers[index].process().terminate();
     let moved = async || {
-        named()
+        fleet
+            .locate("chat-1")
             .await
             .filter(|answer| answer.address != before.address)
     };
--- a/tests/paused_process.rs
+++ b/tests/paused_process.rs
@@ -5,7 +5,6 @@
 use fleet::caller::ChatAsk;
 use fleet::{FleetPlan, TestFleet, wait_for};
 use futures_util::future::join_all;
-use hawthornrouter::locator::EntryAnswer;
 use hawthornrouter::units::TimeSpan;
 use serde_json::json;
 
@@ -67,10 +66,7 @@
     let entry = fleet.entry(0);
     let ask = ChatAsk::new("chat-1", 6).fault(json!({"hold_at": 3}));
     let running = ntex::rt::spawn(async move { caller.chat(entry, &ask).await });
-    wait_for("request runs", async || {
-        (!fleet.engine_record(0).await.is_empty()).then_some(())
-    })
-    .await;
+    fleet.wait_runs(0).await;
     fleet.engines[0]
         .process
         .as_ref()
@@ -97,14 +93,12 @@
 #[ntex::test]
 async fn paused_locator() {
     let mut fleet = TestFleet::start(FleetPlan::new("paused_locator")).await;
-    let url = format!("http://{}/v1/entry?chat=chat-1", fleet.locator.address);
-    let client = fleet.client.clone();
-    let named = async || {
-        let response = client.get(&url).force_close().send().await.ok()?;
-        let body = response.body().await.ok()?;
-        serde_json::from_slice::<EntryAnswer>(&body).ok()
+    let both = async || {
+        fleet
+            .locate("chat-1")
+            .await
+            .filter(|answer| answer.others.len() == 1)
     };
-    let both = async || named().await.filter(|answer| answer.others.len() == 1);
     let before = wait_for("locator names both", both).await;
     let index = (0..2)
         .find(|&index| fleet.entry(index) == before.address)
@@ -122,7 +116,7 @@
         .kill();
     wait_gone(&fleet, 1 - index).await;
     fleet.locator.process.as_ref().expect("locator runs").wake();
-    let first = wait_for("locator answers", named).await;
+    let first = wait_for("locator answers", async || fleet.locate("chat-1").await).await;
     assert_ne!(first.address, before.address, "named a router that is gone");
 }
 
--- a/tests/silent_link.rs
+++ b/tests/silent_link.rs
@@ -24,10 +24,7 @@
     let entry = fleet.entry(0);
     let ask = ChatAsk::new("chat-1", 6).fault(json!({"hold_at": 3}));
     let running = ntex::rt::spawn(async move { caller.chat(entry, &ask).await });
-    wait_for("request runs", async || {
-        (!fleet.engine_record(0).await.is_empty()).then_some(())
-    })
-    .await;
+    fleet.wait_runs(0).await;
     fleet
         .control(fleet.relay.expect("relay runs"), "silence", &())
         .await;
--- a/tests/thin_path.rs
+++ b/tests/thin_path.rs
@@ -4,18 +4,11 @@
 
 use fleet::caller::ChatAsk;
 use fleet::{FleetPlan, TestFleet, wait_for};
-use hawthornrouter::locator::EntryAnswer;
 
 #[ntex::test]
 async fn served_end_to_end() {
     let fleet = TestFleet::start(FleetPlan::new("served_end_to_end")).await;
-    let url = format!("http://{}/v1/entry?chat=chat-1", fleet.locator.address);
-    let named = wait_for("locator names a VM", async || {
-        let response = fleet.client.get(&url).force_close().send().await.ok()?;
-        let body = response.body().await.ok()?;
-        serde_json::from_slice::<EntryAnswer>(&body).ok()
-    })
-    .await;
+    let named = wait_for("locator names a VM", async || fleet.locate("chat-1").await).await;
     let answer = fleet
         .caller()
         .chat(named.address, &ChatAsk::new("chat-1", 5))
--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -3,7 +3,7 @@
 mod fleet;
 
 use fleet::caller::ChatAsk;
-use fleet::{FleetPlan, TestFleet, wait_for};
+use fleet::{FleetPlan, TestFleet};
 use futures_util::future::join_all;
 use hawthornrouter::units::{ShareRatio, TimeSpan};
 use serde_json::json;
@@ -79,10 +79,7 @@
         let ask = ChatAsk::new("chat-1", 9).fault(json!({"hold_at": 3}));
         caller.chat(entry, &ask).await
     });
-    wait_for("request runs", async || {
-        (!fleet.engine_record(0).await.is_empty()).then_some(())
-    })
-    .await;
+    fleet.wait_runs(0).await;
     fleet.engines[0].process.take().expect("engine runs").kill();
     let answer = held.await.expect("caller");
     assert!(answer.has_error(), "{answer:?}");
