Share the configuration in the control loop and mend what the read of the change found

Cause, from reading the whole change: the control loop copied the rule book for every ticket, call and drain tick though the bundle is shared already; the homes for locators were serialised and hashed five times a second though they seldom change; two functions walked a router's own engines in the same way; the relay carried a board that nothing reads; two tests found the router that the locator names with the same lines.

Changed: the bundle's Arc is handed out, homes are written when they differ, own_engines serves both counts, the dead field is gone, TestFleet::wait_named serves both tests. Behaviour, bounds and assertions are as they were. Left: the other test pairs share a set-up and differ in what they provoke.

--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -12,6 +12,7 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::board::{Board, LifeStage};
+use crate::bundle::ConfigBundle;
 use crate::control::call_controller::CallController;
 use crate::control::config_controller::ConfigController;
 use crate::control::event::ControlEvent;
@@ -28,7 +29,6 @@
 use crate::policy::retry_budget::RetryBudget;
 use crate::policy::slot_steward::EngineLoad;
 use crate::policy::slot_waiters::SlotWaiter;
-use crate::rules::RuleBook;
 use crate::wire::{DigestPong, FleetDigest, LoadEntry, PeerBody, SlotAsk, SlotReply};
 use crate::wire_convert::{kind_from_wire, rank_from_wire, slot_reply};
 
@@ -125,9 +125,10 @@
         self.parts.clock.now()
     }
 
-    fn rules(&self) -> Option<Arc<RuleBook>> {
+    /// The configuration in force, shared and not copied.
+    fn bundle(&self) -> Option<Arc<ConfigBundle>> {
         let accepted = self.parts.config.state().accepted()?;
-        Some(Arc::new(accepted.bundle.rules.clone()))
+        Some(Arc::clone(&accepted.bundle))
     }
 
     fn tick(&mut self) {
@@ -198,13 +199,15 @@
                 let _ = reply.send(self.parts.work.retries.spend());
             }
             ControlEvent::Mint(ask) => {
-                if let Some(rules) = self.rules() {
-                    self.parts.calls.mint(now, ask, &rules);
+                if let Some(bundle) = self.bundle() {
+                    self.parts.calls.mint(now, ask, &bundle.rules);
                 }
             }
             ControlEvent::Call(offer) => {
-                if let Some(rules) = self.rules() {
-                    self.parts.calls.call(now, offer, &rules, &self.parts.peers);
+                if let Some(bundle) = self.bundle() {
+                    self.parts
+                        .calls
+                        .call(now, offer, &bundle.rules, &self.parts.peers);
                 }
             }
             ControlEvent::CallSettled { serial, record } => {
@@ -362,8 +365,8 @@
             }
             PeerBody::Ledger(handover) => {
                 let life = self
-                    .rules()
-                    .map_or(Duration::ZERO, |rules| rules.ticket_life.0);
+                    .bundle()
+                    .map_or(Duration::ZERO, |bundle| bundle.rules.ticket_life.0);
                 let ack = self.parts.calls.hold(now, life, handover);
                 let _ = mailbox.send(ack);
             }
--- a/src/control/control_loop/life.rs
+++ b/src/control/control_loop/life.rs
@@ -30,8 +30,8 @@
             }
             LifeStage::Draining => {
                 let kept = self
-                    .rules()
-                    .map_or(Duration::ZERO, |rules| rules.locator_answer.0);
+                    .bundle()
+                    .map_or(Duration::ZERO, |bundle| bundle.rules.locator_answer.0);
                 if now.since(self.stage_since) >= kept + LOCATOR_MARGIN {
                     self.set_stage(now, LifeStage::Closing);
                     self.parts.calls.seal();
--- a/src/control/control_loop/status.rs
+++ b/src/control/control_loop/status.rs
@@ -72,9 +72,11 @@
                 steward: self.vm_named(steward)?,
             })
         });
-        self.parts
-            .board
-            .set_homes(HomeSection::new(homes.collect()));
+        let homes: Vec<HomeEntry> = homes.collect();
+        // Hashing the entries for their version is spared while nothing changes.
+        if self.parts.board.homes().homes != homes {
+            self.parts.board.set_homes(HomeSection::new(homes));
+        }
     }
 
     pub(super) fn upstream_status(&self, now: MonoTime) -> Vec<UpstreamStatus> {
--- a/src/entry/chat_handler.rs
+++ b/src/entry/chat_handler.rs
@@ -77,7 +77,6 @@
     let (out, messages) = channel(RELAY_BUFFER);
     let context = RelayContext {
         client: state.client.clone(),
-        board: state.board.clone(),
         control: state.control.clone(),
         clock: state.clock,
     };
--- a/src/policy/request_scheduler/slot_room.rs
+++ b/src/policy/request_scheduler/slot_room.rs
@@ -9,27 +9,25 @@
 use crate::rules::WorkRank;
 
 impl RequestScheduler {
+    /// Open engines of a model that this router is the steward of.
+    fn own_engines(&self, model: ModelKey) -> impl Iterator<Item = &PoolEngine> {
+        let open = self
+            .pools
+            .get(&model)
+            .into_iter()
+            .flat_map(EnginePool::open_engines);
+        open.filter(|member| self.steward_of(member.key) == self.own)
+    }
+
     /// Slots of the open engines that this router is the steward of.
     pub(super) fn own_slots(&self, model: ModelKey) -> u32 {
-        let Some(pool) = self.pools.get(&model) else {
-            return 0;
-        };
-        let own = pool
-            .open_engines()
-            .filter(|member| self.steward_of(member.key) == self.own);
-        own.map(|member| member.slots).sum()
+        self.own_engines(model).map(|member| member.slots).sum()
     }
 
     /// How many of those slots are free.
     pub(super) fn own_free(&self, model: ModelKey) -> u32 {
-        let Some(pool) = self.pools.get(&model) else {
-            return 0;
-        };
-        let own = pool
-            .open_engines()
-            .filter(|member| self.steward_of(member.key) == self.own);
-        own.map(|member| member.slots.saturating_sub(self.steward.load(member.key)))
-            .sum()
+        let free = |member: &PoolEngine| member.slots.saturating_sub(self.steward.load(member.key));
+        self.own_engines(model).map(free).sum()
     }
 
     /// Whether work of this router, as urgent as `rank`, waits for engines like this one.
--- a/src/upstream/answer_relay.rs
+++ b/src/upstream/answer_relay.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc::Sender;
 use tokio::sync::{Notify, oneshot};
 
-use crate::board::{Board, ConfigSection};
+use crate::board::ConfigSection;
 use crate::control::{ControlEvent, ControlHandle, WorkOffer, WorkVerdict};
 use crate::error::RouterError;
 use crate::ids::EngineKey;
@@ -40,8 +40,6 @@
 pub struct RelayContext {
     /// The client towards engines.
     pub client: Client,
-    /// The blackboard.
-    pub board: Arc<Board>,
     /// The control thread.
     pub control: ControlHandle,
     /// The clock of this process.
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -526,6 +526,18 @@
         serde_json::from_slice(&body).ok()
     }
 
+    /// Waits until the locator names one of both routers for a chat, and gives that router.
+    pub async fn wait_named(&self, chat: &str) -> usize {
+        let both = async || {
+            self.locate(chat)
+                .await
+                .filter(|answer| answer.others.len() == 1)
+        };
+        let named = wait_for("locator names both", both).await;
+        let router = (0..2).find(|&index| self.entry(index) == named.address);
+        router.expect("router")
+    }
+
     /// Calls that reached the service.
     pub async fn service_record(&self) -> Vec<String> {
         let url = format!("http://{}/record", self.service.address);
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -57,22 +57,14 @@
 #[ntex::test]
 async fn locator_leaves_drained() {
     let fleet = TestFleet::start(FleetPlan::new("locator_leaves_drained")).await;
-    let both = async || {
-        fleet
-            .locate("chat-1")
-            .await
-            .filter(|answer| answer.others.len() == 1)
-    };
-    let before = wait_for("locator names both", both).await;
-    let index = (0..2)
-        .find(|&index| fleet.entry(index) == before.address)
-        .expect("router");
+    let index = fleet.wait_named("chat-1").await;
+    let before = fleet.entry(index);
     fleet.routers[index].process().terminate();
     let moved = async || {
         fleet
             .locate("chat-1")
             .await
-            .filter(|answer| answer.address != before.address)
+            .filter(|answer| answer.address != before)
     };
     let after = wait_for("locator names the other", moved).await;
     assert!(after.others.is_empty());
--- a/tests/paused_process.rs
+++ b/tests/paused_process.rs
@@ -93,16 +93,8 @@
 #[ntex::test]
 async fn paused_locator() {
     let mut fleet = TestFleet::start(FleetPlan::new("paused_locator")).await;
-    let both = async || {
-        fleet
-            .locate("chat-1")
-            .await
-            .filter(|answer| answer.others.len() == 1)
-    };
-    let before = wait_for("locator names both", both).await;
-    let index = (0..2)
-        .find(|&index| fleet.entry(index) == before.address)
-        .expect("router");
+    let index = fleet.wait_named("chat-1").await;
+    let before = fleet.entry(index);
     fleet
         .locator
         .process
@@ -117,7 +109,7 @@
     wait_gone(&fleet, 1 - index).await;
     fleet.locator.process.as_ref().expect("locator runs").wake();
     let first = wait_for("locator answers", async || fleet.locate("chat-1").await).await;
-    assert_ne!(first.address, before.address, "named a router that is gone");
+    assert_ne!(first.address, before, "named a router that is gone");
 }
 
 #[ntex::test]
