--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -44,7 +44,7 @@
 
 /// Ends the process when any of its threads panics: a router without its control thread would take
 /// requests and never answer.
-fn end_on_panic() {
+pub fn end_on_panic() {
     std::panic::set_hook(Box::new(|info| {
         spdlog::critical!("panic", kv: { place: = info });
         std::process::exit(EXIT_PANIC);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,9 @@
 //! What a router believes of the rest of the fleet, and how fresh that is.
 
 pub mod config_state;
+pub mod member_table;
 pub mod peer_view;
+pub mod store_belief;
+pub mod upstream_entry;
 pub mod upstream_view;
 pub mod wake_guard;
--- /dev/null
+++ b/src/forward.rs
@@ -0,0 +1,13 @@
+//! Forwards callers' requests to upstreams, in whatever words both speak.
+
+mod call_wait;
+pub mod event_reader;
+mod front_call;
+pub mod front_handler;
+pub mod front_server;
+mod link_pool;
+mod relay_body;
+pub mod store_link;
+pub mod traffic_state;
+mod upstream_link;
+mod upstream_track;
--- /dev/null
+++ b/src/forward/front_call.rs
@@ -0,0 +1,554 @@
+//! One call: its attempts at upstreams until there is an answer for the caller.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONNECTION, CONTENT_ENCODING, HeaderMap};
+use http::{Request, Response, StatusCode, Version};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use crate::dialect::{AnswerHead, CallHead, EdgeDialect, UpstreamOrder};
+use crate::forward::call_wait::CallWait;
+use crate::forward::event_reader::EventReader;
+use crate::forward::link_pool::LinkTrust;
+use crate::forward::traffic_state::{TrafficState, UpstreamHold};
+use crate::forward::upstream_link::UpstreamLink;
+use crate::ids::{ServiceId, UpstreamKey};
+use crate::mono::MonoTime;
+use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep};
+use crate::route::{AccountGrant, PriorityRank, RouteRule, RouteTable};
+
+/// Longest wait for a connection: a VM that is up answers within a round trip and its own queue.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// Largest answer that is read whole before it is passed on.
+const WHOLE_BYTES: usize = 16 << 20;
+
+/// What a call is, once its head and body were read and its route found.
+pub struct CallPlan {
+    /// The configuration that allows it.
+    pub table: Arc<RouteTable>,
+    /// Its route.
+    pub route: Arc<RouteRule>,
+    /// What its key allows; none on public routes.
+    pub grant: Option<Arc<AccountGrant>>,
+    /// Its head.
+    pub head: CallHead,
+    /// Its body.
+    pub body: Bytes,
+    /// When its first byte came.
+    pub began: MonoTime,
+    /// When its final answer is due.
+    pub ends: MonoTime,
+}
+
+/// An answer that was read whole.
+pub struct WholeAnswer {
+    /// Status, as the upstream gave it.
+    pub status: StatusCode,
+    /// Headers, as the upstream gave them.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A stream whose first events have come.
+pub struct OpenStream<D: EdgeDialect> {
+    /// Status, as the upstream gave it.
+    pub status: StatusCode,
+    /// Headers, as the upstream gave them.
+    pub headers: HeaderMap,
+    /// Events that were read already.
+    pub first: Bytes,
+    /// Whether the stream ended with them.
+    pub ended: bool,
+    source: StreamSource<D>,
+}
+
+/// Where the events of a stream come from.
+struct StreamSource<D: EdgeDialect> {
+    hold: UpstreamHold<D>,
+    link: UpstreamLink,
+    body: Incoming,
+    reuse: LinkReuse,
+}
+
+/// Whether a connection may carry another call after this answer.
+#[derive(Clone, Copy, Debug)]
+struct LinkReuse {
+    allowed: bool,
+    idle: Option<Duration>,
+}
+
+/// What an attempt brought.
+pub enum UpstreamAnswer<D: EdgeDialect> {
+    /// An answer to pass on.
+    Whole(WholeAnswer),
+    /// A stream to relay.
+    Stream(OpenStream<D>),
+}
+
+/// A call in progress.
+pub struct FrontCall<D: EdgeDialect> {
+    state: Rc<TrafficState<D>>,
+    plan: CallPlan,
+    service: ServiceId,
+    attempts: CallAttempts,
+    tried: Vec<UpstreamKey>,
+    reader: EventReader,
+    first_event: Option<MonoTime>,
+    ended: bool,
+}
+
+impl<D: EdgeDialect> FrontCall<D> {
+    /// A call without attempts.
+    pub fn new(state: Rc<TrafficState<D>>, plan: CallPlan) -> Self {
+        let service = plan.route.pick_service(state.draw()).clone();
+        state.count_call(&service);
+        Self {
+            attempts: CallAttempts::new(plan.route.kind, plan.route.max_attempts),
+            reader: EventReader::new(plan.head.resume_after),
+            service,
+            state,
+            plan,
+            tried: Vec::new(),
+            first_event: None,
+            ended: false,
+        }
+    }
+
+    /// Makes attempts until one brings an answer for the caller.
+    pub async fn answer(&mut self) -> Result<UpstreamAnswer<D>, CallFailure> {
+        loop {
+            let Some(hold) = self.pick() else {
+                return Err(self.attempts.exhausted(self.in_time()));
+            };
+            let began = self.state.now();
+            let key = hold.key;
+            match self.attempt(hold).await {
+                Ok(answer) => return Ok(answer),
+                Err(fault) => match self.after(key, fault, began) {
+                    NextStep::Retry => {}
+                    NextStep::Fail(failure) => return Err(failure),
+                },
+            }
+        }
+    }
+
+    /// The next events of a stream, from another upstream where the first one fails and the
+    /// route allows that; none at the end.
+    pub async fn next_events(
+        &mut self,
+        stream: &mut Option<OpenStream<D>>,
+    ) -> Result<Option<Bytes>, CallFailure> {
+        loop {
+            let Some(open) = stream.as_mut() else {
+                return Ok(None);
+            };
+            if open.ended {
+                if let Some(open) = stream.take() {
+                    self.release(open.source);
+                }
+                return Ok(None);
+            }
+            let began = self.state.now();
+            let key = open.source.hold.key;
+            match self
+                .read_events(&mut open.source, CallWait::next(&self.plan.route))
+                .await
+            {
+                Ok((events, ended)) => {
+                    open.ended = ended;
+                    if !events.is_empty() {
+                        return Ok(Some(events));
+                    }
+                }
+                Err(fault) => {
+                    // The upstream must stop before another one goes on.
+                    *stream = None;
+                    self.reader.restart();
+                    match self.after(key, fault, began) {
+                        NextStep::Fail(failure) => return Err(failure),
+                        NextStep::Retry => *stream = Some(self.resume().await?),
+                    }
+                    if let Some(events) = take_first(stream) {
+                        return Ok(Some(events));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Goes on with a stream at another upstream.
+    async fn resume(&mut self) -> Result<OpenStream<D>, CallFailure> {
+        match self.answer().await? {
+            UpstreamAnswer::Stream(open) => Ok(open),
+            UpstreamAnswer::Whole(_) => Err(CallFailure::Unknown),
+        }
+    }
+
+    /// The caller has events of the stream.
+    pub fn started_stream(&mut self) {
+        self.attempts.started_stream();
+        let now = self.state.now();
+        self.first_event = Some(now);
+        self.state
+            .telemetry
+            .first_event_seconds
+            .observe(now.since(self.plan.began).as_secs_f64());
+    }
+
+    /// Writes the end of the call to the log and the metrics.
+    pub fn finish(&mut self, outcome: &'static str, status: u16) {
+        self.ended = true;
+        let now = self.state.now();
+        let spent = now.since(self.plan.began);
+        let kind = self.plan.route.kind.label();
+        let telemetry = &self.state.telemetry;
+        telemetry.calls.with_label_values(&[kind, outcome]).inc();
+        telemetry
+            .call_seconds
+            .with_label_values(&[kind])
+            .observe(spent.as_secs_f64());
+        let first = self
+            .first_event
+            .map(|at| at.since(self.plan.began).as_millis());
+        spdlog::info!("call", kv: {
+            id: = String::from_utf8_lossy(&self.plan.head.request_id), outcome: = outcome,
+            status: = status, kind: = kind, route: = self.plan.route.name,
+            service: = self.service, ms: = spent.as_millis(), first_ms:? = first,
+            events: = self.reader.events(), arrivals: = self.attempts.arrivals(),
+            verdict:? = self.attempts.verdict(), config: = self.plan.table.version
+        });
+    }
+
+    fn pick(&self) -> Option<UpstreamHold<D>> {
+        let home = self
+            .plan
+            .route
+            .cached_prompts
+            .then(|| self.plan.head.home());
+        self.state
+            .pick(&self.plan.table, &self.service, home.flatten(), &self.tried)
+    }
+
+    fn in_time(&self) -> bool {
+        self.state.now() < self.plan.ends
+    }
+
+    /// Counts a fault and decides what follows.
+    fn after(&mut self, key: UpstreamKey, fault: AttemptFault, began: MonoTime) -> NextStep {
+        let alone = !self.state.heard_after(key, began);
+        self.state.upstream_failed(key, fault, alone);
+        // A connection that closed before the call was written says nothing of its upstream.
+        if fault != AttemptFault::Unsent {
+            self.tried.push(key);
+        }
+        let in_time = self.in_time();
+        let affordable = self.state.affordable(&self.service);
+        let step = self.attempts.ended(fault, in_time, affordable);
+        spdlog::info!("attempt-failed", kv: {
+            id: = String::from_utf8_lossy(&self.plan.head.request_id), upstream: = key,
+            fault: = fault.label(), code:? = fault, verdict:? = self.attempts.verdict(),
+            alone: = alone, in_time: = in_time, affordable: = affordable, next:? = step,
+            ms: = self.state.now().since(began).as_millis()
+        });
+        step
+    }
+
+    async fn attempt(&mut self, hold: UpstreamHold<D>) -> Result<UpstreamAnswer<D>, AttemptFault> {
+        let mut link = self.link(&hold).await?;
+        if self.attempts.is_repeat() {
+            self.state.count_repeat(&self.service);
+        }
+        let request = self.request(&hold)?;
+        let sent = self.state.now();
+        let wait = CallWait::first(&self.plan.route);
+        let body_bytes = self.plan.body.len();
+        let response = self
+            .within(hold.key, sent, wait, link.send(request, body_bytes))
+            .await;
+        let response = match response {
+            Ok(Ok(response)) => response,
+            Ok(Err(fault)) => return Err(fault),
+            Err(_) if !link.wrote() => return Err(AttemptFault::Unsent),
+            Err(fault) => return Err(fault),
+        };
+        let head = self
+            .state
+            .dialect
+            .read_answer(response.status(), response.headers());
+        self.state.upstream_answered(hold.key, &head);
+        self.judge(response.status(), response.headers(), &head)?;
+        let reuse = link_reuse(&response, link.wrote_all());
+        let (parts, body) = response.into_parts();
+        let mut source = StreamSource {
+            hold,
+            link,
+            body,
+            reuse,
+        };
+        if parts.status.is_success() && self.plan.route.kind.streams() {
+            let (first, ended) = self.read_events(&mut source, wait).await?;
+            return Ok(UpstreamAnswer::Stream(OpenStream {
+                status: parts.status,
+                headers: parts.headers,
+                first,
+                ended,
+                source,
+            }));
+        }
+        let body = self.read_whole(&mut source, wait).await?;
+        if parts.status.is_server_error() {
+            self.state.upstream_failed(
+                source.hold.key,
+                AttemptFault::Failed(parts.status.as_u16()),
+                false,
+            );
+        }
+        self.release(source);
+        Ok(UpstreamAnswer::Whole(WholeAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+        }))
+    }
+
+    /// An idle connection to the upstream, or a new one.
+    async fn link(&self, hold: &UpstreamHold<D>) -> Result<UpstreamLink, AttemptFault> {
+        let trust = if self.attempts.may_repeat() {
+            LinkTrust::Any
+        } else {
+            LinkTrust::Fresh
+        };
+        let now = self.state.now();
+        let idle = self.state.pool.borrow_mut().take(hold.key, trust, now);
+        if let Some(link) = idle {
+            return Ok(link);
+        }
+        self.state.telemetry.connects.inc();
+        let limit = CONNECT_LIMIT.min(self.plan.ends.since(now));
+        UpstreamLink::open(hold.entry.address, limit)
+            .await
+            .map_err(|error| {
+                spdlog::info!("connect-failed", kv: {
+                    upstream: = hold.entry.id, peer: = hold.entry.address, reason: = error
+                });
+                AttemptFault::Unreachable
+            })
+    }
+
+    fn request(&self, hold: &UpstreamHold<D>) -> Result<Request<Full<Bytes>>, AttemptFault> {
+        let head = &self.plan.head;
+        let rank = self.rank();
+        let order = UpstreamOrder {
+            upstream: &hold.entry.id,
+            account: self.plan.grant.as_ref().map(|grant| &grant.account),
+            time_left: self.plan.ends.since(self.state.now()),
+            rank,
+            resume_after: self.reader.last(),
+        };
+        let request = Request::builder()
+            .method(head.method.clone())
+            .uri(head.target.as_str())
+            .body(Full::new(self.plan.body.clone()));
+        let mut request = request.map_err(|error| {
+            spdlog::warn!("request-unwritable", kv: { target: = head.target, reason: = error });
+            AttemptFault::Unsent
+        })?;
+        *request.headers_mut() = self.state.dialect.order_headers(head, &order);
+        Ok(request)
+    }
+
+    fn rank(&self) -> PriorityRank {
+        let account_rank = self.plan.grant.as_ref().and_then(|grant| grant.rank);
+        account_rank.unwrap_or(self.plan.route.rank)
+    }
+
+    /// Decides whether the head of an answer is one to pass on.
+    fn judge(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        head: &AnswerHead,
+    ) -> Result<(), AttemptFault> {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(AttemptFault::WrongInstance);
+        }
+        let ours = head
+            .request_id
+            .as_ref()
+            .is_none_or(|id| *id == self.plan.head.request_id);
+        if head.not_executed && ours {
+            return Err(AttemptFault::NotExecuted);
+        }
+        let named = head.request_id.is_some() || !status.is_success();
+        if !ours || !named || headers.contains_key(CONTENT_ENCODING) {
+            return Err(AttemptFault::BadAnswer);
+        }
+        if status.is_success() {
+            return if head.signed {
+                Ok(())
+            } else {
+                Err(AttemptFault::BadAnswer)
+            };
+        }
+        // These say that the call did not run, which the upstream has not vouched for.
+        let unproved = matches!(status.as_u16(), 408 | 429 | 503);
+        let elsewhere = self.attempts.may_repeat() && self.state.affordable(&self.service);
+        if unproved || (status.is_server_error() && elsewhere) {
+            return Err(AttemptFault::Failed(status.as_u16()));
+        }
+        Ok(())
+    }
+
+    /// Reads until whole events have come; also tells whether the stream ended.
+    async fn read_events(
+        &mut self,
+        source: &mut StreamSource<D>,
+        wait: CallWait,
+    ) -> Result<(Bytes, bool), AttemptFault> {
+        let began = self.state.now();
+        loop {
+            let frame = self
+                .within(source.hold.key, began, wait, source.body.frame())
+                .await?;
+            match frame {
+                Some(Ok(frame)) => {
+                    self.state.upstream_heard(source.hold.key);
+                    let Ok(bytes) = frame.into_data() else {
+                        continue;
+                    };
+                    let events = self.reader.push(&bytes)?;
+                    if !events.is_empty() {
+                        return Ok((events, false));
+                    }
+                }
+                Some(Err(_)) => return Err(AttemptFault::Broken),
+                None if self.reader.is_partial() => return Err(AttemptFault::Broken),
+                None => return Ok((Bytes::new(), true)),
+            }
+        }
+    }
+
+    async fn read_whole(
+        &self,
+        source: &mut StreamSource<D>,
+        wait: CallWait,
+    ) -> Result<Bytes, AttemptFault> {
+        let began = self.state.now();
+        let mut whole = BytesMut::new();
+        loop {
+            let frame = self
+                .within(source.hold.key, began, wait, source.body.frame())
+                .await?;
+            match frame {
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        whole.extend_from_slice(&bytes);
+                    }
+                    if whole.len() > WHOLE_BYTES {
+                        return Err(AttemptFault::BadAnswer);
+                    }
+                }
+                Some(Err(_)) => return Err(AttemptFault::Broken),
+                None => return Ok(whole.freeze()),
+            }
+        }
+    }
+
+    /// Waits for `future` until the call's time is over or, where another upstream may take over,
+    /// until this one has been silent for too long.
+    async fn within<F: Future>(
+        &self,
+        key: UpstreamKey,
+        began: MonoTime,
+        wait: CallWait,
+        future: F,
+    ) -> Result<F::Output, AttemptFault> {
+        tokio::pin!(future);
+        let mut alone_passed = false;
+        loop {
+            let now = self.state.now();
+            let replaceable = self.attempts.may_repeat() && self.state.affordable(&self.service);
+            let limit = if !replaceable {
+                self.plan.ends
+            } else if alone_passed {
+                (began + wait.busy).min(self.plan.ends)
+            } else {
+                (began + wait.alone).min(self.plan.ends)
+            };
+            tokio::select! {
+                biased;
+                output = &mut future => return Ok(output),
+                () = tokio::time::sleep(limit.since(now)) => {}
+            }
+            let now = self.state.now();
+            if now >= self.plan.ends {
+                return Err(AttemptFault::Silent);
+            }
+            if replaceable && (alone_passed || !self.state.heard_after(key, began)) {
+                return Err(if self.first_event.is_some() {
+                    AttemptFault::Stalled
+                } else {
+                    AttemptFault::Silent
+                });
+            }
+            alone_passed = true;
+        }
+    }
+
+    /// An answer has ended well: its connection may carry another call.
+    fn release(&self, source: StreamSource<D>) {
+        let StreamSource {
+            hold, link, reuse, ..
+        } = source;
+        self.state.upstream_succeeded(hold.key);
+        if reuse.allowed {
+            let now = self.state.now();
+            let mut pool = self.state.pool.borrow_mut();
+            pool.put(hold.key, link, reuse.idle, now);
+        }
+    }
+}
+
+impl<D: EdgeDialect> Drop for FrontCall<D> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.finish("caller-left", 0);
+        }
+    }
+}
+
+fn take_first<D: EdgeDialect>(stream: &mut Option<OpenStream<D>>) -> Option<Bytes> {
+    let open = stream.as_mut()?;
+    let events = std::mem::take(&mut open.first);
+    (!events.is_empty()).then_some(events)
+}
+
+fn link_reuse(response: &Response<Incoming>, wrote_all: bool) -> LinkReuse {
+    let headers = response.headers();
+    let closes = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"));
+    let idle = headers
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| {
+            value
+                .split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
+        .and_then(|seconds| seconds.trim().parse().ok())
+        .map(Duration::from_secs);
+    LinkReuse {
+        allowed: wrote_all && !closes && response.version() == Version::HTTP_11,
+        idle,
+    }
+}
--- /dev/null
+++ b/src/forward/front_handler.rs
@@ -0,0 +1,371 @@
+//! Answers one request of a caller.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use ntex::http::{ConnectionType, Payload};
+use ntex::io::IoRef;
+use tokio::sync::mpsc::channel;
+
+use crate::dialect::{CallHead, EdgeDialect};
+use crate::forward::front_call::{CallPlan, FrontCall, OpenStream, UpstreamAnswer, WholeAnswer};
+use crate::forward::relay_body::{RelayBody, StreamPiece};
+use crate::forward::traffic_state::TrafficState;
+use crate::forward::upstream_link::TaskGuard;
+use crate::mono::MonoTime;
+use crate::policy::call_attempts::CallFailure;
+use crate::route::{AccountGrant, RouteRule, RouteTable};
+use crate::router_board::RouterStage;
+
+/// An answer to a caller.
+pub type FrontResponse = ntex::http::Response<RelayBody>;
+
+/// When a caller may come back after a refusal that rests on this router's own state.
+const RETRY_SOON: Duration = Duration::from_millis(200);
+
+/// Pieces of a stream that wait for a slow caller.
+const STREAM_PIECES: usize = 64;
+
+/// A call that this router answers itself.
+#[derive(Clone, Copy, Debug)]
+struct OwnAnswer {
+    status: StatusCode,
+    reason: &'static str,
+    retry_after: Option<Duration>,
+}
+
+impl OwnAnswer {
+    fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// The call did not run; the caller may come back soon.
+    fn not_run(reason: &'static str) -> Self {
+        Self {
+            retry_after: Some(RETRY_SOON),
+            ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason)
+        }
+    }
+}
+
+impl From<CallFailure> for OwnAnswer {
+    fn from(failure: CallFailure) -> Self {
+        match failure {
+            CallFailure::NotRun => Self::not_run("no upstream ran the call"),
+            CallFailure::Unknown => {
+                Self::new(StatusCode::BAD_GATEWAY, "the upstream's answer was lost")
+            }
+            CallFailure::Late => Self::new(
+                StatusCode::GATEWAY_TIMEOUT,
+                "no answer within the time limit",
+            ),
+        }
+    }
+}
+
+/// Counts a call as open until it is dropped.
+struct OpenCall<D>(Rc<TrafficState<D>>);
+
+impl<D> OpenCall<D> {
+    fn new(state: Rc<TrafficState<D>>) -> Self {
+        state.board.calls.fetch_add(1, Ordering::Relaxed);
+        Self(state)
+    }
+}
+
+impl<D> Drop for OpenCall<D> {
+    fn drop(&mut self) {
+        self.0.board.calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Answers a request.
+pub async fn handle_call<D: EdgeDialect>(
+    state: Rc<TrafficState<D>>,
+    mut request: ntex::http::Request,
+) -> FrontResponse {
+    let open = OpenCall::new(Rc::clone(&state));
+    let began = state.now();
+    let stage = state.board.stage();
+    let caller = request.io().cloned();
+    let answer = match admit(&state, &mut request, began).await {
+        Ok(plan) => serve(&state, plan, caller, open).await,
+        Err(answer) => {
+            spdlog::info!("call-refused", kv: {
+                status: = answer.status.as_u16(), reason: = answer.reason,
+                path: = request.uri().path(), stage: = stage.label()
+            });
+            state
+                .telemetry
+                .calls
+                .with_label_values(&["none", "refused"])
+                .inc();
+            Err(answer)
+        }
+    };
+    let mut response = answer.unwrap_or_else(|answer| own_response(&answer));
+    if state.board.stage() >= RouterStage::Leaving {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+/// Reads a request and finds what the configuration in force says of it.
+async fn admit<D: EdgeDialect>(
+    state: &Rc<TrafficState<D>>,
+    request: &mut ntex::http::Request,
+    began: MonoTime,
+) -> Result<CallPlan, OwnAnswer> {
+    if state.board.stage() == RouterStage::Closing {
+        return Err(OwnAnswer::not_run("router stops"));
+    }
+    let Some(table) = state.board.routes.load_full() else {
+        return Err(OwnAnswer::not_run("no configuration yet"));
+    };
+    let headers = copy_headers(request, &table)?;
+    let method = Method::from_bytes(request.method().as_str().as_bytes())
+        .map_err(|_| OwnAnswer::new(StatusCode::BAD_REQUEST, "method"))?;
+    let target = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let head = state
+        .dialect
+        .read_call(method, target, &headers)
+        .map_err(|fault| OwnAnswer::new(fault.status, fault.reason))?;
+    let route = table
+        .find(&head.host, head.path())
+        .cloned()
+        .ok_or(OwnAnswer::new(StatusCode::NOT_FOUND, "no route"))?;
+    let grant = authenticate(&table, &route, &head)?;
+    let limit = head.patience.unwrap_or(route.time_limit);
+    let ends = began + limit.min(route.time_limit);
+    let body_bytes = table.limits.body_bytes.0 as usize;
+    let body = read_body(state, request.take_payload(), body_bytes, ends).await?;
+    Ok(CallPlan {
+        table,
+        route,
+        grant,
+        head,
+        body,
+        began,
+        ends,
+    })
+}
+
+/// Copies the headers of a request, within the limit of the configuration.
+fn copy_headers(request: &ntex::http::Request, table: &RouteTable) -> Result<HeaderMap, OwnAnswer> {
+    let mut headers = HeaderMap::with_capacity(request.headers().len());
+    let mut bytes = request.uri().path().len();
+    for (name, value) in request.headers() {
+        bytes += name.as_str().len() + value.as_bytes().len() + 4;
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        if let (Ok(name), Ok(value)) = (HeaderName::from_bytes(name.as_str().as_bytes()), value) {
+            headers.append(name, value);
+        }
+    }
+    if bytes as u64 > table.limits.head_bytes.0 {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(OwnAnswer::new(status, "head too large"));
+    }
+    Ok(headers)
+}
+
+fn authenticate(
+    table: &RouteTable,
+    route: &RouteRule,
+    head: &CallHead,
+) -> Result<Option<Arc<AccountGrant>>, OwnAnswer> {
+    if route.public || !table.needs_keys() {
+        return Ok(None);
+    }
+    head.key
+        .as_ref()
+        .and_then(|key| table.grant(key))
+        .cloned()
+        .map(Some)
+        .ok_or(OwnAnswer::new(StatusCode::UNAUTHORIZED, "unknown key"))
+}
+
+async fn read_body<D: EdgeDialect>(
+    state: &Rc<TrafficState<D>>,
+    mut payload: Payload,
+    limit: usize,
+    ends: MonoTime,
+) -> Result<Bytes, OwnAnswer> {
+    let mut body = BytesMut::new();
+    loop {
+        let left = ends.since(state.now());
+        let Ok(piece) = tokio::time::timeout(left, payload.next()).await else {
+            return Err(OwnAnswer::new(StatusCode::REQUEST_TIMEOUT, "body too slow"));
+        };
+        match piece {
+            None => return Ok(body.freeze()),
+            Some(Err(_)) => {
+                return Err(OwnAnswer::new(StatusCode::BAD_REQUEST, "body broken"));
+            }
+            Some(Ok(bytes)) if body.len() + bytes.len() > limit => {
+                return Err(OwnAnswer::new(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "body too large",
+                ));
+            }
+            Some(Ok(bytes)) => body.extend_from_slice(&bytes),
+        }
+    }
+}
+
+async fn serve<D: EdgeDialect>(
+    state: &Rc<TrafficState<D>>,
+    plan: CallPlan,
+    caller: Option<IoRef>,
+    open: OpenCall<D>,
+) -> Result<FrontResponse, OwnAnswer> {
+    let mut call = FrontCall::new(Rc::clone(state), plan);
+    match call.answer().await {
+        Ok(UpstreamAnswer::Whole(answer)) => {
+            call.finish("answered", answer.status.as_u16());
+            Ok(whole_response(answer))
+        }
+        Ok(UpstreamAnswer::Stream(stream)) => Ok(stream_response(call, stream, caller, open)),
+        Err(failure) => {
+            let answer = OwnAnswer::from(failure);
+            call.finish(failure_label(failure), answer.status.as_u16());
+            Err(answer)
+        }
+    }
+}
+
+fn failure_label(failure: CallFailure) -> &'static str {
+    match failure {
+        CallFailure::NotRun => "not-run",
+        CallFailure::Unknown => "unknown",
+        CallFailure::Late => "late",
+    }
+}
+
+fn whole_response(answer: WholeAnswer) -> FrontResponse {
+    let body = RelayBody::Whole(Some(answer.body));
+    let mut response = ntex::http::Response::with_body(answer.status, body);
+    pass_headers(&answer.headers, &mut response);
+    response
+}
+
+/// Starts the relay of a stream.
+fn stream_response<D: EdgeDialect>(
+    mut call: FrontCall<D>,
+    mut stream: OpenStream<D>,
+    caller: Option<IoRef>,
+    open: OpenCall<D>,
+) -> FrontResponse {
+    let (sender, pieces) = channel(STREAM_PIECES);
+    let status = stream.status;
+    let headers = std::mem::take(&mut stream.headers);
+    let task = TaskGuard::spawn(async move {
+        let _open = open;
+        let outcome = relay(&mut call, stream, &sender).await;
+        call.finish(outcome, status.as_u16());
+    });
+    let body = RelayBody::Stream {
+        pieces,
+        caller,
+        ended: false,
+        _task: task,
+    };
+    let mut response = ntex::http::Response::with_body(status, body);
+    pass_headers(&headers, &mut response);
+    response
+}
+
+/// Relays a stream to its end, within the call's time.
+async fn relay<D: EdgeDialect>(
+    call: &mut FrontCall<D>,
+    mut stream: OpenStream<D>,
+    sender: &tokio::sync::mpsc::Sender<StreamPiece>,
+) -> &'static str {
+    let first = std::mem::take(&mut stream.first);
+    if !first.is_empty() {
+        call.started_stream();
+        if sender.send(StreamPiece::Events(first)).await.is_err() {
+            return "caller-left";
+        }
+    }
+    let mut source = Some(stream);
+    loop {
+        let piece = match call.next_events(&mut source).await {
+            Ok(Some(events)) => StreamPiece::Events(events),
+            Ok(None) => StreamPiece::End,
+            Err(failure) => return failure_label(failure),
+        };
+        let ended = matches!(piece, StreamPiece::End);
+        if sender.send(piece).await.is_err() {
+            return "caller-left";
+        }
+        if ended {
+            return "answered";
+        }
+    }
+}
+
+/// Passes an upstream's headers on, without those of the connection.
+fn pass_headers(headers: &HeaderMap, response: &mut FrontResponse) {
+    let named: Vec<String> = headers
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|token| token.trim().to_ascii_lowercase())
+        .collect();
+    for (name, value) in headers {
+        if is_connection_header(name) || named.iter().any(|token| token == name.as_str()) {
+            continue;
+        }
+        let value = ntex::http::header::HeaderValue::from_bytes(value.as_bytes());
+        let name = ntex::http::header::HeaderName::from_bytes(name.as_str().as_bytes());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+}
+
+/// Whether a header concerns one connection only, or is written anew on each.
+pub fn is_connection_header(name: &HeaderName) -> bool {
+    matches!(
+        name.as_str(),
+        "connection"
+            | "content-length"
+            | "keep-alive"
+            | "proxy-authenticate"
+            | "proxy-authorization"
+            | "proxy-connection"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+    )
+}
+
+fn own_response(answer: &OwnAnswer) -> FrontResponse {
+    let body = RelayBody::Whole(Some(Bytes::from_static(answer.reason.as_bytes())));
+    let mut response = ntex::http::Response::with_body(answer.status, body);
+    if let Some(after) = answer.retry_after {
+        let text = format!("{:.3}", after.as_secs_f64());
+        if let Ok(value) = ntex::http::header::HeaderValue::from_str(&text) {
+            response
+                .headers_mut()
+                .insert(ntex::http::header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/forward/traffic_state.rs
@@ -0,0 +1,254 @@
+//! What the calls of the traffic thread share.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::dialect::{AnswerHead, EdgeDialect};
+use crate::fleet::upstream_entry::{ServingState, UpstreamEntry};
+use crate::forward::link_pool::LinkPool;
+use crate::forward::upstream_track::UpstreamTrack;
+use crate::ids::{ServiceId, UpstreamKey};
+use crate::mono::{MonoTime, ProcessClock};
+use crate::policy::call_attempts::AttemptFault;
+use crate::policy::retry_window::RetryWindow;
+use crate::policy::upstream_choice::{UpstreamOption, UpstreamUse, choose_upstream};
+use crate::route::RouteTable;
+use crate::router_board::RouterBoard;
+use crate::telemetry::RouterTelemetry;
+
+/// State of the traffic thread.
+pub struct TrafficState<D> {
+    /// The words on the wire.
+    pub dialect: D,
+    /// What the control thread tells.
+    pub board: Arc<RouterBoard>,
+    /// The clock of the process.
+    pub clock: ProcessClock,
+    /// The metrics.
+    pub telemetry: RouterTelemetry,
+    /// Idle connections.
+    pub pool: RefCell<LinkPool>,
+    tracks: RefCell<HashMap<UpstreamKey, UpstreamTrack>>,
+    retries: RefCell<HashMap<ServiceId, RetryWindow>>,
+    rng: RefCell<SmallRng>,
+}
+
+/// A chosen upstream; counts as a call there until it is dropped.
+pub struct UpstreamHold<D: EdgeDialect> {
+    /// The upstream.
+    pub entry: Arc<UpstreamEntry>,
+    /// Its key.
+    pub key: UpstreamKey,
+    /// Its load when it was chosen.
+    pub load: f64,
+    state: Rc<TrafficState<D>>,
+}
+
+impl<D: EdgeDialect> Drop for UpstreamHold<D> {
+    fn drop(&mut self) {
+        if let Some(track) = self.state.tracks.borrow_mut().get_mut(&self.key) {
+            track.own = track.own.saturating_sub(1);
+        }
+    }
+}
+
+impl<D: EdgeDialect> TrafficState<D> {
+    /// State without memory of any upstream.
+    pub fn new(
+        dialect: D,
+        board: Arc<RouterBoard>,
+        clock: ProcessClock,
+        telemetry: RouterTelemetry,
+    ) -> Self {
+        Self {
+            dialect,
+            board,
+            clock,
+            telemetry,
+            pool: RefCell::default(),
+            tracks: RefCell::default(),
+            retries: RefCell::default(),
+            rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+        }
+    }
+
+    /// The time.
+    pub fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+
+    /// A number that is uniform over `u64`.
+    pub fn draw(&self) -> u64 {
+        self.rng.borrow_mut().random()
+    }
+
+    /// Counts a call of a service for its retry budget.
+    pub fn count_call(&self, service: &ServiceId) {
+        let mut retries = self.retries.borrow_mut();
+        let window = retries.entry(service.clone()).or_default();
+        window.call(&self.board.settings.load().retry, self.now());
+    }
+
+    /// Whether the retry budget of a service has room.
+    pub fn affordable(&self, service: &ServiceId) -> bool {
+        let routers = self.board.fleet_size.load(Ordering::Relaxed);
+        let mut retries = self.retries.borrow_mut();
+        let window = retries.entry(service.clone()).or_default();
+        window.affordable(&self.board.settings.load().retry, routers, self.now())
+    }
+
+    /// Counts a call that a second upstream receives.
+    pub fn count_repeat(&self, service: &ServiceId) {
+        let mut retries = self.retries.borrow_mut();
+        retries
+            .entry(service.clone())
+            .or_default()
+            .repeat(self.now());
+        self.telemetry.repeats.inc();
+    }
+
+    /// Chooses an upstream of `service` that is none of `tried`.
+    pub fn pick(
+        self: &Rc<Self>,
+        table: &RouteTable,
+        service: &ServiceId,
+        home: Option<u64>,
+        tried: &[UpstreamKey],
+    ) -> Option<UpstreamHold<D>> {
+        let upstreams = self.board.upstreams.load();
+        let members: Vec<&Arc<UpstreamEntry>> = upstreams
+            .iter()
+            .filter(|entry| entry.service == *service)
+            .collect();
+        let options = self.options(table, service, &members, tried);
+        let index = choose_upstream(&options, home, self.draw())?;
+        let key = options[index].key;
+        let mut tracks = self.tracks.borrow_mut();
+        tracks.entry(key).or_default().own += 1;
+        Some(UpstreamHold {
+            entry: Arc::clone(members[index]),
+            key,
+            load: options[index].load,
+            state: Rc::clone(self),
+        })
+    }
+
+    fn options(
+        &self,
+        table: &RouteTable,
+        service: &ServiceId,
+        members: &[&Arc<UpstreamEntry>],
+        tried: &[UpstreamKey],
+    ) -> Vec<UpstreamOption> {
+        let now = self.now();
+        let settings = self.board.settings.load();
+        let routers = self.board.fleet_size.load(Ordering::Relaxed);
+        let tracks = self.tracks.borrow();
+        let unknown = UpstreamTrack::default();
+        let track_of = |key: UpstreamKey| tracks.get(&key).unwrap_or(&unknown);
+        let shares: f64 = members
+            .iter()
+            .map(|entry| track_of(entry.id.key()).health.failure_share(now))
+            .sum();
+        let usual = shares / members.len().max(1) as f64;
+        let connections = table.service(service).map_or(u32::MAX, |rule| {
+            rule.max_connections / routers.max(1) as u32
+        });
+        members
+            .iter()
+            .map(|entry| {
+                let key = entry.id.key();
+                let track = track_of(key);
+                let closed = entry.state == ServingState::Draining
+                    || tried.contains(&key)
+                    || track.own >= connections.max(1);
+                let usable = if closed {
+                    UpstreamUse::Closed
+                } else if track.health.resting(now) || track.health.doubtful(usual, now) {
+                    UpstreamUse::Doubtful
+                } else {
+                    UpstreamUse::Open
+                };
+                UpstreamOption {
+                    key,
+                    slots: entry.slots,
+                    load: track.load(routers, now),
+                    near: entry.data_center == settings.data_center,
+                    usable,
+                }
+            })
+            .collect()
+    }
+
+    /// Whether an upstream was heard after `since`.
+    pub fn heard_after(&self, upstream: UpstreamKey, since: MonoTime) -> bool {
+        let tracks = self.tracks.borrow();
+        tracks
+            .get(&upstream)
+            .is_some_and(|track| track.health.heard_after(since))
+    }
+
+    /// Bytes of an answer came from an upstream.
+    pub fn upstream_heard(&self, upstream: UpstreamKey) {
+        let now = self.now();
+        let mut tracks = self.tracks.borrow_mut();
+        tracks.entry(upstream).or_default().health.heard(now);
+    }
+
+    /// An upstream answered with a head.
+    pub fn upstream_answered(&self, upstream: UpstreamKey, head: &AnswerHead) {
+        let now = self.now();
+        let mut tracks = self.tracks.borrow_mut();
+        let track = tracks.entry(upstream).or_default();
+        track.health.heard(now);
+        if let Some(load) = head.load {
+            track.reported(load, now);
+        }
+    }
+
+    /// A call ended well at an upstream.
+    pub fn upstream_succeeded(&self, upstream: UpstreamKey) {
+        let now = self.now();
+        let mut tracks = self.tracks.borrow_mut();
+        tracks.entry(upstream).or_default().health.succeeded(now);
+    }
+
+    /// A call failed at an upstream; `alone` tells that nothing else was heard from it meanwhile.
+    pub fn upstream_failed(&self, upstream: UpstreamKey, fault: AttemptFault, alone: bool) {
+        let now = self.now();
+        self.telemetry
+            .faults
+            .with_label_values(&[fault.label()])
+            .inc();
+        let mut tracks = self.tracks.borrow_mut();
+        let health = &mut tracks.entry(upstream).or_default().health;
+        match fault {
+            AttemptFault::Unreachable | AttemptFault::WrongInstance => health.unreachable(now),
+            AttemptFault::Silent | AttemptFault::Stalled if alone => health.unreachable(now),
+            AttemptFault::Unsent => {}
+            _ => health.failed(now),
+        }
+        drop(tracks);
+        if matches!(fault, AttemptFault::Unreachable | AttemptFault::Silent) {
+            self.pool.borrow_mut().close(upstream);
+        }
+    }
+
+    /// Forgets upstreams that are gone, and closes connections that were idle for too long.
+    pub fn sweep(&self) {
+        let upstreams = self.board.upstreams.load();
+        let known = |key: UpstreamKey| upstreams.iter().any(|entry| entry.id.key() == key);
+        self.tracks
+            .borrow_mut()
+            .retain(|&key, track| track.own > 0 || known(key));
+        let mut pool = self.pool.borrow_mut();
+        pool.sweep(self.now());
+        self.telemetry.idle_links.set(pool.len() as i64);
+    }
+}
--- /dev/null
+++ b/src/forward_node.rs
@@ -0,0 +1,84 @@
+//! Puts a forwarding router together.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use ntex::rt::{DefaultRuntime, System};
+use tokio::task::LocalSet;
+
+use crate::dialect::EdgeDialect;
+use crate::error::{RouterError, RouterResult, StepName};
+use crate::fleet::store_belief::DocumentCodec;
+use crate::forward::front_server::{listen, serve_callers, serve_questions, sweep_state};
+use crate::forward::traffic_state::TrafficState;
+use crate::forward_control::{ControlStart, SettingsSource, run_control};
+use crate::mono::ProcessClock;
+use crate::router_board::RouterBoard;
+use crate::store_source::StoreSource;
+use crate::telemetry::RouterTelemetry;
+
+/// Time between two sweeps of the traffic thread's state.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// Runs a forwarding router: control on a thread of its own, traffic on this one. Returns when
+/// the router has stopped.
+pub fn run_forwarder<D, C, S, F>(dialect: D, codec: C, store: S, source: F) -> RouterResult<()>
+where
+    D: EdgeDialect,
+    C: DocumentCodec + Send + 'static,
+    S: StoreSource,
+    F: SettingsSource,
+{
+    let clock = ProcessClock::start();
+    let settings = source.read()?;
+    let board = Arc::new(RouterBoard::new(settings));
+    let telemetry = RouterTelemetry::new()
+        .map_err(|error| RouterError::step(StepName::Listen, "metrics", error))?;
+    let start = ControlStart {
+        codec,
+        store,
+        settings: source,
+        board: Arc::clone(&board),
+        clock,
+        telemetry: telemetry.clone(),
+    };
+    let (ended, end) = tokio::sync::oneshot::channel();
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            // The receiver is gone only when the process ends anyway.
+            let _ = ended.send(control_thread(start));
+        })
+        .map_err(|error| RouterError::step(StepName::Listen, "control thread", error))?;
+    System::new("traffic", DefaultRuntime).block_on(async move {
+        let settings = board.settings.load_full();
+        let state = Rc::new(TrafficState::new(dialect, board, clock, telemetry));
+        let front = listen(settings.front)?;
+        let mut questions = vec![settings.ready, settings.locator];
+        let metrics = std::net::SocketAddrV4::new(settings.address, settings.metrics_port);
+        questions.push(metrics);
+        questions.dedup();
+        for address in questions {
+            let listener = listen(address)?;
+            tokio::task::spawn_local(serve_questions(listener, Rc::clone(&state)));
+        }
+        tokio::task::spawn_local(sweep_state(Rc::clone(&state), SWEEP_PERIOD));
+        tokio::task::spawn_local(serve_callers(front, state));
+        end.await.unwrap_or(Ok(()))
+    })
+}
+
+fn control_thread<C, S, F>(start: ControlStart<C, S, F>) -> RouterResult<()>
+where
+    C: DocumentCodec + 'static,
+    S: StoreSource,
+    F: SettingsSource,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| RouterError::step(StepName::Listen, "control thread", error))?;
+    LocalSet::new().block_on(&runtime, run_control(start))
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -96,6 +96,14 @@
     /// A client account.
     AccountId, AccountKey
 );
+named_id!(
+    /// A route of the configuration.
+    RouteId, RouteKey
+);
+named_id!(
+    /// An engine or a plain service's process: one run of an upstream.
+    UpstreamId, UpstreamKey
+);
 named_id!(
     /// A chat that may return.
     ChatId, ChatKey
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,13 +1,26 @@
-//! Logs: one line of `key=value` pairs an event, on standard error.
+//! Logs: one line of `key=value` pairs an event.
 
 use std::fmt::Write as _;
+use std::io::{self, Write};
 use std::sync::Arc;
-use std::time::UNIX_EPOCH;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
+use std::time::{Duration, UNIX_EPOCH};
 
 use spdlog::formatter::{Formatter, FormatterContext};
-use spdlog::sink::{Sink, StdStream, StdStreamSink};
+use spdlog::sink::{Sink, StdStream, StdStreamSink, WriteSink};
 use spdlog::{LevelFilter, Logger, Record, StringBuf};
 
+/// Lines that wait to be written; more are left out rather than waited for.
+const QUEUED_LINES: usize = 4096;
+
+/// Lines are collected for this long, so that a burst costs one write.
+const WRITE_PERIOD: Duration = Duration::from_millis(50);
+
+/// Lines left out since the last line that told of them.
+static LINES_LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
 #[derive(Clone, Default)]
 struct PairFormatter;
 
@@ -50,3 +63,63 @@
         spdlog::set_default_logger(Arc::new(logger));
     }
 }
+
+/// Sends every log line of this process to standard output in the pair form. A reader that stops
+/// reading costs lines, and never holds up the process.
+pub fn init_stdout(level: LevelFilter) {
+    let (lines, queue) = sync_channel(QUEUED_LINES);
+    let writer = thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&queue));
+    if let Err(error) = writer {
+        eprintln!("error: log thread: {error}");
+        return;
+    }
+    let sink = WriteSink::builder()
+        .target(LineQueue(lines))
+        .formatter(PairFormatter)
+        .build();
+    let Ok(sink) = sink else { return };
+    let sink: Arc<dyn Sink> = Arc::new(sink);
+    if let Ok(logger) = Logger::builder().sink(sink).level_filter(level).build() {
+        spdlog::set_default_logger(Arc::new(logger));
+    }
+}
+
+/// Takes lines without waiting.
+struct LineQueue(SyncSender<Vec<u8>>);
+
+impl Write for LineQueue {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.0.try_send(line.to_vec()).is_err() {
+            LINES_LEFT_OUT.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_lines(queue: &Receiver<Vec<u8>>) {
+    let mut stdout = io::stdout();
+    while let Ok(mut text) = queue.recv() {
+        thread::sleep(WRITE_PERIOD);
+        while let Ok(line) = queue.try_recv() {
+            text.extend_from_slice(&line);
+        }
+        let left_out = LINES_LEFT_OUT.swap(0, Ordering::Relaxed);
+        if left_out > 0 {
+            text.extend_from_slice(format!("event=lines-left-out count={left_out}\n").as_bytes());
+        }
+        // Standard output is gone: there is nobody to tell.
+        if stdout
+            .write_all(&text)
+            .and_then(|()| stdout.flush())
+            .is_err()
+        {
+            return;
+        }
+    }
+}
--- a/src/mono.rs
+++ b/src/mono.rs
@@ -1,7 +1,9 @@
 //! Time as the decisions see it: a distance from the start of the process or of a simulation.
 
 use std::ops::Add;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use nix::time::{ClockId, clock_gettime};
 
 /// A point on a clock that never goes back.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -28,22 +30,30 @@
     }
 }
 
-/// The clock of one process.
+/// The clock of one process. It goes on while the machine is suspended, so that what was believed
+/// before is as old as it is.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl ProcessClock {
     /// A clock that starts now.
     pub fn start() -> Self {
         Self {
-            start: Instant::now(),
+            start: time_since_boot(),
         }
     }
 
     /// The time since the start.
     pub fn now(&self) -> MonoTime {
-        MonoTime(self.start.elapsed())
+        MonoTime(time_since_boot().saturating_sub(self.start))
     }
 }
+
+fn time_since_boot() -> Duration {
+    // The clock exists on every kernel that the runtime supports.
+    clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .expect("the boot-time clock exists")
+        .into()
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,6 +4,7 @@
 //! arguments, so that the same code runs in a router, in tests and on the bench.
 
 pub mod answer_check;
+pub mod call_attempts;
 pub mod engine_pool;
 pub mod fair_queue;
 pub mod load_bound;
@@ -13,6 +14,7 @@
 pub mod refusal;
 pub mod request_scheduler;
 pub mod retry_budget;
+pub mod retry_window;
 pub mod service_meter;
 pub mod slot_asks;
 pub mod slot_steward;
@@ -20,4 +22,6 @@
 pub mod steward_map;
 pub mod ticket;
 pub mod ticket_ledger;
+pub mod upstream_choice;
+pub mod upstream_health;
 pub mod work_item;
--- /dev/null
+++ b/src/router_board.rs
@@ -0,0 +1,82 @@
+//! What the control thread tells the traffic thread of a forwarding router.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+
+use crate::fleet::upstream_entry::UpstreamEntry;
+use crate::route::RouteTable;
+use crate::router_settings::ForwardSettings;
+
+/// How far a router is in its life.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[repr(u8)]
+pub enum RouterStage {
+    /// Lacks a configuration or upstreams.
+    Booting,
+    /// Takes callers.
+    Serving,
+    /// Asked to stop; still takes calls of callers that have its address.
+    Leaving,
+    /// Takes no new calls.
+    Closing,
+}
+
+impl RouterStage {
+    const ALL: [Self; 4] = [Self::Booting, Self::Serving, Self::Leaving, Self::Closing];
+
+    /// The name of the stage in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Booting => "booting",
+            Self::Serving => "serving",
+            Self::Leaving => "leaving",
+            Self::Closing => "closing",
+        }
+    }
+}
+
+/// Sections that the control thread writes and the traffic thread reads.
+#[derive(Debug)]
+pub struct RouterBoard {
+    /// The settings in force.
+    pub settings: ArcSwap<ForwardSettings>,
+    /// The configuration in force.
+    pub routes: ArcSwapOption<RouteTable>,
+    /// The upstreams that exist.
+    pub upstreams: ArcSwap<Vec<Arc<UpstreamEntry>>>,
+    /// Routers that callers may use.
+    pub entries: ArcSwap<Vec<Ipv4Addr>>,
+    /// Upper estimate of the number of routers.
+    pub fleet_size: AtomicUsize,
+    /// Calls in progress; written by the traffic thread.
+    pub calls: AtomicUsize,
+    stage: AtomicU8,
+}
+
+impl RouterBoard {
+    /// A board of a router that knows only its settings.
+    pub fn new(settings: ForwardSettings) -> Self {
+        Self {
+            settings: ArcSwap::from_pointee(settings),
+            routes: ArcSwapOption::empty(),
+            upstreams: ArcSwap::default(),
+            entries: ArcSwap::default(),
+            fleet_size: AtomicUsize::new(1),
+            calls: AtomicUsize::new(0),
+            stage: AtomicU8::new(RouterStage::Booting as u8),
+        }
+    }
+
+    /// How far the router is in its life.
+    pub fn stage(&self) -> RouterStage {
+        RouterStage::ALL[usize::from(self.stage.load(Ordering::Relaxed))]
+    }
+
+    /// Changes the stage.
+    pub fn set_stage(&self, stage: RouterStage) {
+        self.stage.store(stage as u8, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/store_source.rs
@@ -0,0 +1,42 @@
+//! Where the configuration and the entries of upstreams come from.
+
+use std::fmt;
+
+use crate::fleet::store_belief::{StoreChange, StoreRevision, StoreSnapshot};
+
+/// Why the store gave no answer.
+#[derive(Debug)]
+pub enum StoreFault {
+    /// It has discarded the changes that were asked for.
+    HistoryLost,
+    /// It refused, was silent, or its answer was unusable.
+    Failed(anyhow::Error),
+}
+
+impl fmt::Display for StoreFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::HistoryLost => f.write_str("history lost"),
+            Self::Failed(error) => write!(f, "{error:#}"),
+        }
+    }
+}
+
+/// Changes, complete up to a revision.
+#[derive(Clone, Debug, Default)]
+pub struct StoreNews {
+    /// The changes, in order.
+    pub changes: Vec<StoreChange>,
+    /// The revision up to which they are complete.
+    pub revision: StoreRevision,
+}
+
+/// A store that can be read and watched.
+pub trait StoreSource: Send + 'static {
+    /// Reads all documents.
+    fn snapshot(&mut self) -> impl Future<Output = Result<StoreSnapshot, StoreFault>>;
+
+    /// Waits for changes after a revision; without any, the news are empty after some time.
+    fn news(&mut self, after: StoreRevision)
+    -> impl Future<Output = Result<StoreNews, StoreFault>>;
+}
