Widen the load bound of homes to 1.5 times the mean and three calls

Cause: shared prompt parts read again were the dearest price (0.16 to 0.2): at a mean of three calls an engine, 1.25 times the mean and one call passed over the home of one call in three. Ruled out: lost cache entries (no preemption seen).

--- a/src/policy/upstream_choice.rs
+++ b/src/policy/upstream_choice.rs
@@ -11,11 +11,11 @@
 
 /// An upstream is passed over when its load is above this multiple of the mean: well below the
 /// fleet's bound of twice the mean, since loads are known late.
-const LOAD_MULTIPLE: f64 = 1.25;
+const LOAD_MULTIPLE: f64 = 1.5;
 
 /// Calls that an upstream may have above [`LOAD_MULTIPLE`]: with a mean below one call, a multiple
 /// alone would pass over every home.
-const LOAD_SLACK: f64 = 1.0;
+const LOAD_SLACK: f64 = 3.0;
 
 /// Whether an upstream may be chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
