Take the load bound of homes from the settings

Cause: the allowed multiple differs between installations, and a constant would break the bound where it is lower.

--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -127,7 +127,8 @@
             .filter(|entry| entry.service == *service)
             .collect();
         let options = self.options(table, service, &members, tried);
-        let index = choose_upstream(&options, home, self.draw())?;
+        let bound = self.board.settings.load().home;
+        let index = choose_upstream(&options, home, bound, self.draw())?;
         let key = options[index].key;
         let mut tracks = self.tracks.borrow_mut();
         tracks.entry(key).or_default().own += 1;
--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -594,6 +594,7 @@
         // Listeners stay where they are until the next start.
         let settings = ForwardSettings {
             seeds: settings.seeds,
+            home: settings.home,
             retry: settings.retry,
             stop_grace: settings.stop_grace,
             locate_life: settings.locate_life,
--- a/src/policy/upstream_choice.rs
+++ b/src/policy/upstream_choice.rs
@@ -9,13 +9,15 @@
 
 use crate::ids::UpstreamKey;
 
-/// An upstream is passed over when its load is above this multiple of the mean: well below the
-/// fleet's bound of twice the mean, since loads are known late.
-const LOAD_MULTIPLE: f64 = 1.5;
-
-/// Calls that an upstream may have above [`LOAD_MULTIPLE`]: with a mean below one call, a multiple
-/// alone would pass over every home.
-const LOAD_SLACK: f64 = 3.0;
+/// Bound on the load of a home.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HomeBound {
+    /// Multiple of the mean load over the service, by slots.
+    pub multiple: f64,
+    /// Calls above the multiple: with a mean below one call, a multiple alone would pass over
+    /// every home.
+    pub slack: f64,
+}
 
 /// Whether an upstream may be chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -45,7 +47,12 @@
 
 /// Chooses among `options`; `home` is the hash of the prompt's largest shared part, `draw` is
 /// uniform over `u64` and breaks ties.
-pub fn choose_upstream(options: &[UpstreamOption], home: Option<u64>, draw: u64) -> Option<usize> {
+pub fn choose_upstream(
+    options: &[UpstreamOption],
+    home: Option<u64>,
+    bound: HomeBound,
+    draw: u64,
+) -> Option<usize> {
     let usable = |wanted: UpstreamUse| {
         options
             .iter()
@@ -59,20 +66,26 @@
         indexes = usable(UpstreamUse::Doubtful);
     }
     match home {
-        Some(home) => choose_home(options, &indexes, home),
+        Some(home) => choose_home(options, &indexes, home, bound),
         None => choose_least(options, &indexes, draw),
     }
 }
 
-fn choose_home(options: &[UpstreamOption], indexes: &[usize], home: u64) -> Option<usize> {
+fn choose_home(
+    options: &[UpstreamOption],
+    indexes: &[usize],
+    home: u64,
+    bound: HomeBound,
+) -> Option<usize> {
     let slots: f64 = indexes
         .iter()
         .map(|&index| f64::from(options[index].slots))
         .sum();
     let load: f64 = indexes.iter().map(|&index| options[index].load).sum();
     let fill = load / slots.max(1.0);
-    let bound =
-        |option: &UpstreamOption| LOAD_MULTIPLE * fill * f64::from(option.slots) + LOAD_SLACK;
+    let most = |option: &UpstreamOption| {
+        bound.multiple * fill * f64::from(option.slots) + bound.slack
+    };
     let mut ranked: Vec<(f64, usize)> = indexes
         .iter()
         .map(|&index| (rendezvous_score(&options[index], home), index))
@@ -81,7 +94,7 @@
     ranked
         .iter()
         .map(|&(_, index)| index)
-        .find(|&index| options[index].load <= bound(&options[index]))
+        .find(|&index| options[index].load <= most(&options[index]))
         .or_else(|| ranked.first().map(|&(_, index)| index))
 }
 
--- a/src/router_settings.rs
+++ b/src/router_settings.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::{DataCenterId, VmId};
 use crate::policy::retry_window::RetryTerms;
+use crate::policy::upstream_choice::HomeBound;
 
 /// Settings of a forwarding router.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,6 +32,8 @@
     pub seeds: Vec<Ipv4Addr>,
     /// The configuration store.
     pub store: SocketAddrV4,
+    /// Bound on the load of the home of a prompt.
+    pub home: HomeBound,
     /// The fleet's retry budget.
     pub retry: RetryTerms,
     /// Time from the request to stop to the kill.
