--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins of the users' platform for tests: its store, engines that follow a script, and a
+//! plain client.
+
+pub mod plain_client;
+pub mod platform_store;
+pub mod scripted_engine;
+mod wire_text;
+
+pub use wire_text::{WireHead, read_message};
--- /dev/null
+++ b/standins/src/plain_client.rs
@@ -0,0 +1,52 @@
+//! A client that writes requests byte for byte.
+
+use std::io::{self, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use crate::scripted_engine::HANG_LIMIT;
+use crate::wire_text::{WireHead, read_message};
+
+/// A connection of a client.
+pub struct PlainClient {
+    reader: BufReader<TcpStream>,
+    socket: TcpStream,
+}
+
+impl PlainClient {
+    /// Connects.
+    pub fn connect(address: SocketAddr) -> io::Result<Self> {
+        let socket = TcpStream::connect(address)?;
+        socket.set_read_timeout(Some(HANG_LIMIT))?;
+        socket.set_nodelay(true)?;
+        Ok(Self {
+            reader: BufReader::new(socket.try_clone()?),
+            socket,
+        })
+    }
+
+    /// Sends bytes.
+    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.socket.write_all(bytes)
+    }
+
+    /// Reads an answer; an error if it is cut.
+    pub fn answer(&mut self) -> io::Result<(WireHead, String)> {
+        let message = read_message(&mut self.reader, true)?;
+        let (head, body) = message.ok_or(io::ErrorKind::UnexpectedEof)?;
+        Ok((head, String::from_utf8_lossy(&body).into_owned()))
+    }
+
+    /// Reads some bytes as they come; empty at the end.
+    pub fn some(&mut self) -> io::Result<Vec<u8>> {
+        let mut bytes = vec![0; 65_536];
+        let count = self.reader.read(&mut bytes)?;
+        bytes.truncate(count);
+        Ok(bytes)
+    }
+
+    /// Sends a request and reads its answer.
+    pub fn exchange(&mut self, request: &str) -> io::Result<(WireHead, String)> {
+        self.send(request.as_bytes())?;
+        self.answer()
+    }
+}
