Send a failed call to the same upstream again when no other is left

Cause: with one engine, an extra answer left on a kept connection failed the next repeatable call with 502, since the engine counted as tried (test late_extra_answer, red before). Ruled out: the id check, which found the foreign answer. Change: an upstream that failed a call is last in the choice, one that refused it is out.

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -18,7 +18,7 @@
 use crate::forward::upstream_link::UpstreamLink;
 use crate::ids::{ServiceId, UpstreamKey};
 use crate::mono::MonoTime;
-use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep};
+use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
 use crate::policy::prompt_map::PromptRun;
 use crate::route::{AccountGrant, PriorityRank, RouteRule, RouteTable};
 
@@ -98,7 +98,10 @@
     plan: CallPlan,
     service: ServiceId,
     attempts: CallAttempts,
+    /// Upstreams that said or showed that they can't take the call.
     tried: Vec<UpstreamKey>,
+    /// Upstreams that failed the call, and get it again only when no other is left.
+    doubted: Vec<UpstreamKey>,
     /// Shared parts of the prompt, where upstreams cache them.
     runs: Vec<PromptRun>,
     reader: EventReader,
@@ -124,6 +127,7 @@
             state,
             plan,
             tried: Vec::new(),
+            doubted: Vec::new(),
             first_event: None,
             ended: false,
         }
@@ -236,8 +240,13 @@
 
     fn pick(&self) -> Option<UpstreamHold<D>> {
         let home = self.runs.last().map(|run| run.hash);
-        self.state
-            .pick(&self.plan.table, &self.service, home, &self.tried)
+        self.state.pick(
+            &self.plan.table,
+            &self.service,
+            home,
+            &self.tried,
+            &self.doubted,
+        )
     }
 
     fn in_time(&self) -> bool {
@@ -248,9 +257,11 @@
     fn after(&mut self, key: UpstreamKey, fault: AttemptFault, began: MonoTime) -> NextStep {
         let alone = !self.state.heard_after(key, began);
         self.state.upstream_failed(key, fault, alone);
-        // A connection that closed before the call was written says nothing of its upstream.
-        if fault != AttemptFault::Unsent {
-            self.tried.push(key);
+        match fault {
+            // A connection that closed before the call was written says nothing of its upstream.
+            AttemptFault::Unsent => {}
+            _ if fault.verdict() == RunVerdict::NotRun => self.tried.push(key),
+            _ => self.doubted.push(key),
         }
         let in_time = self.in_time();
         let affordable = self.state.affordable(&self.service);
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -121,20 +121,22 @@
         self.telemetry.repeats.inc();
     }
 
-    /// Chooses an upstream of `service` that is none of `tried`.
+    /// Chooses an upstream of `service` that is none of `tried`, and one of `doubted` only if no
+    /// other is left.
     pub fn pick(
         self: &Rc<Self>,
         table: &RouteTable,
         service: &ServiceId,
         home: Option<u64>,
         tried: &[UpstreamKey],
+        doubted: &[UpstreamKey],
     ) -> Option<UpstreamHold<D>> {
         let upstreams = self.board.upstreams.load();
         let members: Vec<&Arc<UpstreamEntry>> = upstreams
             .iter()
             .filter(|entry| entry.service == *service)
             .collect();
-        let options = self.options(table, service, &members, tried);
+        let options = self.options(table, service, &members, tried, doubted);
         let bound = self.board.settings.load().home;
         let index = choose_upstream(&options, home, bound, self.draw())?;
         let key = options[index].key;
@@ -154,6 +156,7 @@
         service: &ServiceId,
         members: &[&Arc<UpstreamEntry>],
         tried: &[UpstreamKey],
+        doubted: &[UpstreamKey],
     ) -> Vec<UpstreamOption> {
         let now = self.now();
         let settings = self.board.settings.load();
@@ -179,6 +182,8 @@
                     || track.own >= connections.max(1);
                 let usable = if closed {
                     UpstreamUse::Closed
+                } else if doubted.contains(&key) {
+                    UpstreamUse::Last
                 } else if track.health.resting(now) || track.health.doubtful(usual, now) {
                     UpstreamUse::Doubtful
                 } else {
--- a/src/policy/upstream_choice.rs
+++ b/src/policy/upstream_choice.rs
@@ -26,6 +26,8 @@
     Open,
     /// Only when no open one is left.
     Doubtful,
+    /// Only when nothing else is left: it has failed this call.
+    Last,
     /// No.
     Closed,
 }
@@ -61,10 +63,10 @@
             .map(|(index, _)| index)
             .collect::<Vec<usize>>()
     };
-    let mut indexes = usable(UpstreamUse::Open);
-    if indexes.is_empty() {
-        indexes = usable(UpstreamUse::Doubtful);
-    }
+    let indexes = [UpstreamUse::Open, UpstreamUse::Doubtful, UpstreamUse::Last]
+        .into_iter()
+        .map(usable)
+        .find(|indexes| !indexes.is_empty())?;
     match home {
         Some(home) => choose_home(options, &indexes, home, bound),
         None => choose_least(options, &indexes, draw),
