--- a/src/forward.rs
+++ b/src/forward.rs
@@ -9,5 +9,6 @@
 mod relay_body;
 pub mod store_link;
 pub mod traffic_state;
+mod upstream_answer;
 mod upstream_link;
 mod upstream_track;
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -1,26 +1,28 @@
 //! One call: its attempts at upstreams until there is an answer for the caller.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONNECTION, CONTENT_ENCODING, HeaderMap};
-use http::{Request, Response, StatusCode, Version};
+use http::Request;
+use http::header::CONTENT_ENCODING;
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 
-use crate::dialect::{AnswerHead, CallHead, EdgeDialect, UpstreamOrder};
+use crate::dialect::{EdgeDialect, UpstreamOrder};
 use crate::forward::call_wait::CallWait;
 use crate::forward::event_reader::EventReader;
 use crate::forward::link_pool::LinkTrust;
 use crate::forward::traffic_state::{TrafficState, UpstreamHold};
+use crate::forward::upstream_answer::{
+    CallPlan, LinkReuse, OpenStream, StreamSource, UpstreamAnswer, WholeAnswer,
+};
 use crate::forward::upstream_link::UpstreamLink;
 use crate::ids::{ServiceId, UpstreamKey};
 use crate::mono::MonoTime;
+use crate::policy::answer_judge::{AnswerSight, judge_answer};
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
 use crate::policy::prompt_map::PromptRun;
-use crate::route::{AccountGrant, PriorityRank, RouteRule, RouteTable};
+use crate::route::PriorityRank;
 
 /// Longest wait for a connection: a VM that is up answers within a round trip and its own queue.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
@@ -28,70 +30,6 @@
 /// Largest answer that is read whole before it is passed on.
 const WHOLE_BYTES: usize = 16 << 20;
 
-/// What a call is, once its head and body were read and its route found.
-pub struct CallPlan {
-    /// The configuration that allows it.
-    pub table: Arc<RouteTable>,
-    /// Its route.
-    pub route: Arc<RouteRule>,
-    /// What its key allows; none on public routes.
-    pub grant: Option<Arc<AccountGrant>>,
-    /// Its head.
-    pub head: CallHead,
-    /// Its body.
-    pub body: Bytes,
-    /// When its first byte came.
-    pub began: MonoTime,
-    /// When its final answer is due.
-    pub ends: MonoTime,
-}
-
-/// An answer that was read whole.
-pub struct WholeAnswer {
-    /// Status, as the upstream gave it.
-    pub status: StatusCode,
-    /// Headers, as the upstream gave them.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-}
-
-/// A stream whose first events have come.
-pub struct OpenStream<D: EdgeDialect> {
-    /// Status, as the upstream gave it.
-    pub status: StatusCode,
-    /// Headers, as the upstream gave them.
-    pub headers: HeaderMap,
-    /// Events that were read already.
-    pub first: Bytes,
-    /// Whether the stream ended with them.
-    pub ended: bool,
-    source: StreamSource<D>,
-}
-
-/// Where the events of a stream come from.
-struct StreamSource<D: EdgeDialect> {
-    hold: UpstreamHold<D>,
-    link: UpstreamLink,
-    body: Incoming,
-    reuse: LinkReuse,
-}
-
-/// Whether a connection may carry another call after this answer.
-#[derive(Clone, Copy, Debug)]
-struct LinkReuse {
-    allowed: bool,
-    idle: Option<Duration>,
-}
-
-/// What an attempt brought.
-pub enum UpstreamAnswer<D: EdgeDialect> {
-    /// An answer to pass on.
-    Whole(WholeAnswer),
-    /// A stream to relay.
-    Stream(OpenStream<D>),
-}
-
 /// A call in progress.
 pub struct FrontCall<D: EdgeDialect> {
     state: Rc<TrafficState<D>>,
@@ -290,17 +228,27 @@
             .await;
         let response = match response {
             Ok(Ok(response)) => response,
-            Ok(Err(fault)) => return Err(fault),
             Err(_) if !link.wrote() => return Err(AttemptFault::Unsent),
-            Err(fault) => return Err(fault),
+            Ok(Err(fault)) | Err(fault) => return Err(fault),
         };
         let head = self
             .state
             .dialect
             .read_answer(response.status(), response.headers());
         self.state.upstream_answered(hold.key, &head);
-        self.judge(response.status(), response.headers(), &head)?;
-        let reuse = link_reuse(&response, link.wrote_all());
+        let elsewhere = self.attempts.may_repeat() && self.state.affordable(&self.service);
+        let sight = AnswerSight {
+            status: response.status().as_u16(),
+            encoded: response.headers().contains_key(CONTENT_ENCODING),
+            not_executed: head.not_executed,
+            signed: head.signed,
+            id: head
+                .request_id
+                .as_ref()
+                .map(|id| *id == self.plan.head.request_id),
+        };
+        judge_answer(sight, elsewhere)?;
+        let reuse = LinkReuse::of(&response, link.wrote_all());
         let (parts, body) = response.into_parts();
         let mut source = StreamSource {
             hold,
@@ -386,43 +334,6 @@
         account_rank.unwrap_or(self.plan.route.rank)
     }
 
-    /// Decides whether the head of an answer is one to pass on.
-    fn judge(
-        &self,
-        status: StatusCode,
-        headers: &HeaderMap,
-        head: &AnswerHead,
-    ) -> Result<(), AttemptFault> {
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            return Err(AttemptFault::WrongInstance);
-        }
-        let ours = head
-            .request_id
-            .as_ref()
-            .is_none_or(|id| *id == self.plan.head.request_id);
-        if head.not_executed && ours {
-            return Err(AttemptFault::NotExecuted);
-        }
-        let named = head.request_id.is_some() || !status.is_success();
-        if !ours || !named || headers.contains_key(CONTENT_ENCODING) {
-            return Err(AttemptFault::BadAnswer);
-        }
-        if status.is_success() {
-            return if head.signed {
-                Ok(())
-            } else {
-                Err(AttemptFault::BadAnswer)
-            };
-        }
-        // These say that the call did not run, which the upstream has not vouched for.
-        let unproved = matches!(status.as_u16(), 408 | 429 | 503);
-        let elsewhere = self.attempts.may_repeat() && self.state.affordable(&self.service);
-        if unproved || (status.is_server_error() && elsewhere) {
-            return Err(AttemptFault::Failed(status.as_u16()));
-        }
-        Ok(())
-    }
-
     /// Reads until whole events have come; also tells whether the stream ended.
     async fn read_events(
         &mut self,
@@ -546,27 +457,3 @@
     let events = std::mem::take(&mut open.first);
     (!events.is_empty()).then_some(events)
 }
-
-fn link_reuse(response: &Response<Incoming>, wrote_all: bool) -> LinkReuse {
-    let headers = response.headers();
-    let closes = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .any(|token| token.trim().eq_ignore_ascii_case("close"));
-    let idle = headers
-        .get("keep-alive")
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| {
-            value
-                .split(',')
-                .find_map(|part| part.trim().strip_prefix("timeout="))
-        })
-        .and_then(|seconds| seconds.trim().parse().ok())
-        .map(Duration::from_secs);
-    LinkReuse {
-        allowed: wrote_all && !closes && response.version() == Version::HTTP_11,
-        idle,
-    }
-}
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -13,9 +13,10 @@
 use tokio::sync::mpsc::channel;
 
 use crate::dialect::{CallHead, EdgeDialect};
-use crate::forward::front_call::{CallPlan, FrontCall, OpenStream, UpstreamAnswer, WholeAnswer};
+use crate::forward::front_call::FrontCall;
 use crate::forward::relay_body::{RelayBody, StreamPiece};
 use crate::forward::traffic_state::TrafficState;
+use crate::forward::upstream_answer::{CallPlan, OpenStream, UpstreamAnswer, WholeAnswer};
 use crate::forward::upstream_link::TaskGuard;
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::CallFailure;
@@ -95,14 +96,13 @@
 ) -> FrontResponse {
     let open = OpenCall::new(Rc::clone(&state));
     let began = state.now();
-    let stage = state.board.stage();
     let caller = request.io().cloned();
     let answer = match admit(&state, &mut request, began).await {
         Ok(plan) => serve(&state, plan, caller, open).await,
         Err(answer) => {
             spdlog::info!("call-refused", kv: {
                 status: = answer.status.as_u16(), reason: = answer.reason,
-                path: = request.uri().path(), stage: = stage.label()
+                path: = request.uri().path(), stage: = state.board.stage().label()
             });
             state
                 .telemetry
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -22,7 +22,7 @@
 use crate::policy::upstream_choice::{UpstreamOption, UpstreamUse, choose_upstream};
 use crate::route::RouteTable;
 use crate::router_board::RouterBoard;
-use crate::telemetry::RouterTelemetry;
+use crate::telemetry::{RouterTelemetry, set_count};
 
 /// Slowest link between upstreams over which parts of prompts are copied: several times faster
 /// than any engine reads them.
@@ -304,6 +304,6 @@
         self.prompts.borrow_mut().forget(self.now());
         let mut pool = self.pool.borrow_mut();
         pool.sweep(self.now());
-        self.telemetry.idle_links.set(pool.len() as i64);
+        set_count(&self.telemetry.idle_links, pool.len());
     }
 }
--- a/src/forward_node.rs
+++ b/src/forward_node.rs
@@ -13,7 +13,7 @@
 use crate::fleet::store_belief::DocumentCodec;
 use crate::forward::front_server::{listen, serve_callers, serve_questions, sweep_state};
 use crate::forward::traffic_state::TrafficState;
-use crate::forward_control::{ControlStart, SettingsSource, run_control};
+use crate::forward_control::{ControlParts, ControlStart, SettingsSource, run_control};
 use crate::mono::ProcessClock;
 use crate::router_board::RouterBoard;
 use crate::store_source::StoreSource;
@@ -40,9 +40,11 @@
         codec,
         store,
         settings: source,
-        board: Arc::clone(&board),
-        clock,
-        telemetry: telemetry.clone(),
+        parts: ControlParts {
+            board: Arc::clone(&board),
+            clock,
+            telemetry: telemetry.clone(),
+        },
     };
     let (ended, end) = tokio::sync::oneshot::channel();
     thread::Builder::new()
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,6 +4,7 @@
 //! arguments, so that the same code runs in a router, in tests and on the bench.
 
 pub mod answer_check;
+pub mod answer_judge;
 pub mod call_attempts;
 pub mod engine_pool;
 pub mod fair_queue;
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -106,3 +106,8 @@
         Ok(text)
     }
 }
+
+/// Sets a gauge to a count.
+pub fn set_count<N: TryInto<i64>>(gauge: &IntGauge, count: N) {
+    gauge.set(count.try_into().unwrap_or(i64::MAX));
+}
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -161,13 +161,10 @@
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .push(head.target().to_owned());
-            let answer = match door.mode() {
-                StoreMode::Serve => self.answer(head.target()),
-                mode => Err(mode),
-            };
+            let answer = (door.mode() == StoreMode::Serve).then(|| self.answer(head.target()));
             let (status, body) = match (answer, door.mode()) {
                 // A call that waited is cut when the mode has changed meanwhile.
-                (Ok(answer), StoreMode::Serve) => answer,
+                (Some(answer), StoreMode::Serve) => answer,
                 (_, StoreMode::Refuse(status)) => (status, json!({})),
                 (_, StoreMode::Silent) => {
                     let _ = read_message(&mut reader, false);
@@ -190,7 +187,7 @@
         }
     }
 
-    fn answer(&self, target: &str) -> Result<(u16, Value), StoreMode> {
+    fn answer(&self, target: &str) -> (u16, Value) {
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let field = |name: &str| {
             query
@@ -202,13 +199,13 @@
         };
         let prefix = field("Prefix");
         match path {
-            "/kv-range" => Ok((200, self.range(&prefix, &field("After")))),
+            "/kv-range" => (200, self.range(&prefix, &field("After"))),
             "/kv-watch" => {
                 let after = field("After").parse().unwrap_or(0);
                 let wait = field("WaitMs").parse().unwrap_or(0);
-                Ok(self.watch(&prefix, after, Duration::from_millis(wait)))
+                self.watch(&prefix, after, Duration::from_millis(wait))
             }
-            _ => Ok((404, json!({}))),
+            _ => (404, json!({})),
         }
     }
 
