Explain a request from its id: inputs in each line, bounded lines, hawthornctl trace

Cause: lines named upstreams by hash, lacked the load, the age of what was believed and the connection, refusals had no id, and the lines of good calls were unbounded. Change: the choice of an upstream with its inputs in each line, a gate of 100 lines a second for calls that went well and for refusals that says how many it left out, hawthornctl trace.

--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod pack;
 pub mod status;
+pub mod trace;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/src/cmd/ctl.rs
+++ b/src/cmd/ctl.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use crate::cmd::{check, diff, drain, explain, pack, status};
+use crate::cmd::{check, diff, drain, explain, pack, status, trace};
 use crate::error::RouterResult;
 use crate::ids::{ChatId, ModelId, RevisionNumber};
 
@@ -53,6 +53,15 @@
             /// The chat.
             required --chat chat: ChatId
         }
+        /// Tell the story of one request from routers' logs.
+        cmd trace {
+            /// The request's id.
+            required id: String
+            /// Log files.
+            repeated files: PathBuf
+            /// Print JSON, a line an event.
+            optional --json
+        }
         /// Have a router finish its work and stop.
         cmd drain {
             /// Its admin address.
@@ -75,6 +84,7 @@
         HawthornctlCmd::Explain(args) => {
             explain::run(args.admin, &args.token, &args.model, &args.chat)
         }
+        HawthornctlCmd::Trace(args) => trace::run(&args.id, args.json, &args.files),
         HawthornctlCmd::Drain(args) => drain::run(args.admin, &args.token),
     }
 }
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -149,6 +149,9 @@
         headers: &HeaderMap,
     ) -> Result<CallHead, HeadFault>;
 
+    /// The id of a request, for the log; empty if it has none.
+    fn request_id<'a>(&self, headers: &'a ntex::http::HeaderMap) -> &'a str;
+
     /// The headers of the call at an upstream, without those of the connection.
     fn order_headers(&self, call: &CallHead, order: &UpstreamOrder<'_>) -> HeaderMap;
 
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -1,5 +1,8 @@
 //! One call: its attempts at upstreams until there is an answer for the caller.
 
+use std::borrow::Cow;
+use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +20,7 @@
     CallPlan, LinkReuse, OpenStream, StreamSource, UpstreamAnswer, WholeAnswer,
 };
 use crate::forward::upstream_link::UpstreamLink;
-use crate::ids::{ServiceId, UpstreamKey};
+use crate::ids::{ServiceId, UpstreamId, UpstreamKey};
 use crate::mono::MonoTime;
 use crate::policy::answer_judge::{AnswerSight, judge_answer};
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
@@ -44,9 +47,37 @@
     runs: Vec<PromptRun>,
     reader: EventReader,
     first_event: Option<MonoTime>,
+    /// The latest choice of an upstream, for the log.
+    choice: Option<ChoiceNote>,
     ended: bool,
 }
 
+/// What decided the choice of an upstream.
+#[derive(Clone, Debug)]
+struct ChoiceNote {
+    upstream: UpstreamId,
+    /// Its load as this router knew it.
+    load: f64,
+    /// Age of the list of upstreams.
+    belief_ms: u64,
+    /// Whether a kept connection was used.
+    kept: bool,
+    /// Where it was to copy parts of the prompt from.
+    source: Option<SocketAddr>,
+}
+
+impl fmt::Display for ChoiceNote {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let link = if self.kept { "kept" } else { "new" };
+        write!(f, "{},load:{:.0},", self.upstream, self.load)?;
+        write!(f, "belief-ms:{},link:{link}", self.belief_ms)?;
+        match self.source {
+            Some(source) => write!(f, ",source:{source}"),
+            None => Ok(()),
+        }
+    }
+}
+
 impl<D: EdgeDialect> FrontCall<D> {
     /// A call without attempts.
     pub fn new(state: Rc<TrafficState<D>>, plan: CallPlan) -> Self {
@@ -67,6 +98,7 @@
             tried: Vec::new(),
             doubted: Vec::new(),
             first_event: None,
+            choice: None,
             ended: false,
         }
     }
@@ -79,6 +111,13 @@
             };
             let began = self.state.now();
             let key = hold.key;
+            self.choice = Some(ChoiceNote {
+                upstream: hold.entry.id.clone(),
+                load: hold.load,
+                belief_ms: self.state.belief_age_ms(),
+                kept: false,
+                source: None,
+            });
             match self.attempt(hold).await {
                 Ok(answer) => return Ok(answer),
                 Err(fault) => match self.after(key, fault, began) {
@@ -164,18 +203,31 @@
             .call_seconds
             .with_label_values(&[kind])
             .observe(spent.as_secs_f64());
-        let first = self
-            .first_event
-            .map(|at| at.since(self.plan.began).as_millis());
+        if outcome == "answered" && status < 500 && !self.state.admits_call_line() {
+            return;
+        }
+        let first = self.first_event.unwrap_or_default().since(self.plan.began);
+        let account = self.plan.grant.as_ref();
         spdlog::info!("call", kv: {
-            id: = String::from_utf8_lossy(&self.plan.head.request_id), outcome: = outcome,
-            status: = status, kind: = kind, route: = self.plan.route.name,
-            service: = self.service, ms: = spent.as_millis(), first_ms:? = first,
-            events: = self.reader.events(), arrivals: = self.attempts.arrivals(),
-            verdict:? = self.attempts.verdict(), config: = self.plan.table.version
+            id: = self.id_text(), outcome: = outcome, status: = status, kind: = kind,
+            route: = self.plan.route.name, service: = self.service, rank: = self.rank(),
+            account: = account.map_or("none", |grant| grant.account.as_str()),
+            ms: = spent.as_millis(), first_ms: = first.as_millis(),
+            events: = self.reader.events(), choice: = self.choice_text(),
+            failed: = self.attempts.arrivals(), verdict:? = self.attempts.verdict(),
+            config: = self.plan.table.version
         });
     }
 
+    fn id_text(&self) -> Cow<'_, str> {
+        String::from_utf8_lossy(&self.plan.head.request_id)
+    }
+
+    fn choice_text(&self) -> String {
+        let choice = self.choice.as_ref();
+        choice.map_or_else(|| "none".to_owned(), ToString::to_string)
+    }
+
     fn pick(&self) -> Option<UpstreamHold<D>> {
         let home = self.runs.last().map(|run| run.hash);
         self.state.pick(
@@ -205,10 +257,10 @@
         let affordable = self.state.affordable(&self.service);
         let step = self.attempts.ended(fault, in_time, affordable);
         spdlog::info!("attempt-failed", kv: {
-            id: = String::from_utf8_lossy(&self.plan.head.request_id), upstream: = key,
-            fault: = fault.label(), code:? = fault, verdict:? = self.attempts.verdict(),
+            id: = self.id_text(), fault: = fault.label(), code:? = fault,
+            verdict:? = self.attempts.verdict(), choice: = self.choice_text(),
             alone: = alone, in_time: = in_time, affordable: = affordable, next:? = step,
-            ms: = self.state.now().since(began).as_millis()
+            ms: = self.state.now().since(began).as_millis(), config: = self.plan.table.version
         });
         step
     }
@@ -283,7 +335,7 @@
     }
 
     /// An idle connection to the upstream, or a new one.
-    async fn link(&self, hold: &UpstreamHold<D>) -> Result<UpstreamLink, AttemptFault> {
+    async fn link(&mut self, hold: &UpstreamHold<D>) -> Result<UpstreamLink, AttemptFault> {
         let trust = if self.attempts.may_repeat() {
             LinkTrust::Any
         } else {
@@ -292,6 +344,7 @@
         let now = self.state.now();
         let idle = self.state.pool.borrow_mut().take(hold.key, trust, now);
         if let Some(link) = idle {
+            self.note(|choice| choice.kept = true);
             return Ok(link);
         }
         self.state.telemetry.connects.inc();
@@ -300,13 +353,21 @@
             .await
             .map_err(|error| {
                 spdlog::info!("connect-failed", kv: {
-                    upstream: = hold.entry.id, peer: = hold.entry.address, reason: = error
+                    id: = self.id_text(), upstream: = hold.entry.id, peer: = hold.entry.address, reason: = error
                 });
                 AttemptFault::Unreachable
             })
     }
 
-    fn request(&self, hold: &UpstreamHold<D>) -> Result<Request<Full<Bytes>>, AttemptFault> {
+    fn note<F: FnOnce(&mut ChoiceNote)>(&mut self, change: F) {
+        if let Some(choice) = &mut self.choice {
+            change(choice);
+        }
+    }
+
+    fn request(&mut self, hold: &UpstreamHold<D>) -> Result<Request<Full<Bytes>>, AttemptFault> {
+        let source = self.state.cache_source(&self.plan.table, &self.runs, hold);
+        self.note(|choice| choice.source = source);
         let head = &self.plan.head;
         let rank = self.rank();
         let order = UpstreamOrder {
@@ -315,7 +376,7 @@
             time_left: self.plan.ends.since(self.state.now()),
             rank,
             resume_after: self.reader.last(),
-            cache_source: self.state.cache_source(&self.plan.table, &self.runs, hold),
+            cache_source: source,
         };
         let request = Request::builder()
             .method(head.method.clone())
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -100,10 +100,16 @@
     let answer = match admit(&state, &mut request, began).await {
         Ok(plan) => serve(&state, plan, caller, open).await,
         Err(answer) => {
-            spdlog::info!("call-refused", kv: {
-                status: = answer.status.as_u16(), reason: = answer.reason,
-                path: = request.uri().path(), stage: = state.board.stage().label()
-            });
+            if state.admits_refusal_line() {
+                let known = state.board.routes.load();
+                let version = known.as_ref().map_or(0, |table| table.version.0);
+                spdlog::info!("call-refused", kv: {
+                    id: = state.dialect.request_id(request.headers()),
+                    status: = answer.status.as_u16(), reason: = answer.reason,
+                    path: = request.uri().path(), config: = version,
+                    belief_ms: = state.belief_age_ms(), stage: = state.board.stage().label()
+                });
+            }
             state
                 .telemetry
                 .calls
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -15,6 +15,7 @@
 use crate::forward::link_pool::LinkPool;
 use crate::forward::upstream_track::UpstreamTrack;
 use crate::ids::{ServiceId, UpstreamKey};
+use crate::line_gate::LineGate;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::call_attempts::AttemptFault;
 use crate::policy::prompt_map::{PromptMap, PromptRun};
@@ -43,6 +44,10 @@
     tracks: RefCell<HashMap<UpstreamKey, UpstreamTrack>>,
     retries: RefCell<HashMap<ServiceId, RetryWindow>>,
     prompts: RefCell<PromptMap>,
+    /// Bounds the lines of calls that went well.
+    call_lines: RefCell<LineGate>,
+    /// Bounds the lines of requests refused before they were calls.
+    refusal_lines: RefCell<LineGate>,
     rng: RefCell<SmallRng>,
 }
 
@@ -82,6 +87,8 @@
             tracks: RefCell::default(),
             retries: RefCell::default(),
             prompts: RefCell::default(),
+            call_lines: RefCell::default(),
+            refusal_lines: RefCell::default(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
         }
     }
@@ -294,8 +301,39 @@
         }
     }
 
+    /// Whether the line of a call that went well may be written.
+    pub fn admits_call_line(&self) -> bool {
+        self.call_lines.borrow_mut().admit(self.now())
+    }
+
+    /// Whether the line of a refused request may be written.
+    pub fn admits_refusal_line(&self) -> bool {
+        self.refusal_lines.borrow_mut().admit(self.now())
+    }
+
+    /// Milliseconds since the store last answered: the age of what is believed of upstreams.
+    pub fn belief_age_ms(&self) -> u64 {
+        let heard = self.board.store_heard_ms.load(Ordering::Relaxed);
+        (self.now().0.as_millis() as u64).saturating_sub(heard)
+    }
+
+    fn report_lines_left_out(&self) {
+        let gates = [
+            ("call", &self.call_lines),
+            ("call-refused", &self.refusal_lines),
+        ];
+        for (kind, gate) in gates {
+            let count = gate.borrow_mut().take_left_out();
+            if count > 0 {
+                self.telemetry.lines_left_out.inc_by(count);
+                spdlog::info!("lines-left-out", kv: { kind: = kind, count: = count });
+            }
+        }
+    }
+
     /// Forgets upstreams that are gone, and closes connections that were idle for too long.
     pub fn sweep(&self) {
+        self.report_lines_left_out();
         let upstreams = self.board.upstreams.load();
         let known = |key: UpstreamKey| upstreams.iter().any(|entry| entry.id.key() == key);
         self.tracks
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -311,6 +311,8 @@
 
     fn store_answered(&mut self, now: MonoTime) {
         self.store_heard = Some(now);
+        let heard = now.0.as_millis() as u64;
+        self.board.store_heard_ms.store(heard, Ordering::Relaxed);
         self.belief.store_answered(now);
         if std::mem::take(&mut self.store_lost) {
             spdlog::info!("store-regained", kv: { revision: = self.belief.revision() });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod forward_node;
 pub mod gossip;
 pub mod ids;
+pub mod line_gate;
 pub mod locator;
 pub mod log;
 pub mod metrics;
--- a/src/router_board.rs
+++ b/src/router_board.rs
@@ -2,7 +2,7 @@
 
 use std::net::Ipv4Addr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 
@@ -51,6 +51,8 @@
     pub entries: ArcSwap<Vec<Ipv4Addr>>,
     /// Upper estimate of the number of routers.
     pub fleet_size: AtomicUsize,
+    /// Milliseconds of the process' clock at which the store last answered; 0 before that.
+    pub store_heard_ms: AtomicU64,
     /// Calls in progress; written by the traffic thread.
     pub calls: AtomicUsize,
     stage: AtomicU8,
@@ -65,6 +67,7 @@
             upstreams: ArcSwap::default(),
             entries: ArcSwap::default(),
             fleet_size: AtomicUsize::new(1),
+            store_heard_ms: AtomicU64::new(0),
             calls: AtomicUsize::new(0),
             stage: AtomicU8::new(RouterStage::Booting as u8),
         }
--- /dev/null
+++ b/tests/request_trace.rs
@@ -0,0 +1,62 @@
+//! The story of one request from the logs of several routers.
+
+use std::path::Path;
+
+use hawthornrouter::cmd::trace::{parse_log, story_of};
+use hawthornrouter::line_gate::LineGate;
+use hawthornrouter::mono::MonoTime;
+use std::time::Duration;
+
+const LOG: &str = r#"
+no line of ours
+ts=100.000 level=info event=config-accepted version=3 revision=9 routes=4
+ts=104.200 level=info event=store-lost reason="status 503: \"busy\"" revision=9
+ts=104.900 level=info event=attempt-failed id=a1 fault=broken next=Retry ms=120
+ts=105.000 level=info event=call id=a1 outcome=unknown status=502 ms=900
+ts=105.100 level=info event=call id=a2 outcome=answered status=200 ms=10
+ts=109.000 level=info event=store-regained revision=12
+"#;
+
+#[test]
+fn own_lines_and_beliefs() {
+    let mut lines = parse_log(Path::new("logs/r1.log"), LOG);
+    assert_eq!(lines.len(), 6);
+    lines.extend(parse_log(
+        Path::new("all.log"),
+        "  12.5 r2 ts=104.300 level=info event=store-lost revision=9\n\
+         \x20 12.6 r2 ts=106.000 level=info event=call id=a1 outcome=answered status=200 ms=5\n",
+    ));
+    let story = story_of("a1", lines);
+    let told: Vec<(&str, &str)> = story
+        .iter()
+        .map(|line| (line.router.as_str(), line.event.as_str()))
+        .collect();
+    // The loss at r2 was long before the request reached it.
+    assert_eq!(
+        told,
+        [
+            ("r1", "store-lost"),
+            ("r1", "attempt-failed"),
+            ("r1", "call"),
+            ("r2", "call"),
+        ]
+    );
+    let reason = &story[0].pairs[1];
+    assert_eq!(
+        (reason.key.as_str(), reason.value.as_str()),
+        ("reason", "status 503: \"busy\"")
+    );
+    assert!(story_of("a9", parse_log(Path::new("r1.log"), LOG)).is_empty());
+}
+
+#[test]
+fn bounded_lines() {
+    let mut gate = LineGate::default();
+    let mut written = 0;
+    for millis in 0..2000u64 {
+        written += u32::from(gate.admit(MonoTime(Duration::from_millis(5000 + millis))));
+    }
+    assert_eq!(written, 200);
+    assert_eq!(gate.take_left_out(), 1800);
+    assert_eq!(gate.take_left_out(), 0);
+}
