Wait for an upstream that says that calls queue there

Change: the limit for an engine that answers others holds only while it reports an empty queue; test queued_start fails before.

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -460,16 +460,19 @@
         future: F,
     ) -> Result<F::Output, AttemptFault> {
         tokio::pin!(future);
-        let mut alone_passed = false;
+        let mut looks = 0;
         loop {
             let now = self.state.now();
             let replaceable = self.attempts.may_repeat() && self.state.affordable(&self.service);
-            let limit = if !replaceable {
-                self.plan.ends
-            } else if alone_passed {
-                (began + wait.busy).min(self.plan.ends)
+            let look = match looks {
+                0 => began + wait.alone,
+                1 => began + wait.busy,
+                _ => now + wait.busy,
+            };
+            let limit = if replaceable {
+                look.min(self.plan.ends)
             } else {
-                (began + wait.alone).min(self.plan.ends)
+                self.plan.ends
             };
             tokio::select! {
                 biased;
@@ -480,14 +483,16 @@
             if now >= self.plan.ends {
                 return Err(AttemptFault::Silent);
             }
-            if replaceable && (alone_passed || !self.state.heard_after(key, began)) {
+            // Where calls wait, silence towards one of them shows nothing.
+            let overdue = looks > 0 && !self.state.is_queued(key);
+            if replaceable && (overdue || !self.state.heard_after(key, began)) {
                 return Err(if self.first_event.is_some() {
                     AttemptFault::Stalled
                 } else {
                     AttemptFault::Silent
                 });
             }
-            alone_passed = true;
+            looks += 1;
         }
     }
 
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -244,6 +244,15 @@
         self.prompts.borrow_mut().sent(runs, upstream, now);
     }
 
+    /// Whether an upstream lately said that calls wait there.
+    pub fn is_queued(&self, upstream: UpstreamKey) -> bool {
+        let now = self.now();
+        let tracks = self.tracks.borrow();
+        tracks
+            .get(&upstream)
+            .is_some_and(|track| track.is_queued(now))
+    }
+
     /// Whether an upstream was heard after `since`.
     pub fn heard_after(&self, upstream: UpstreamKey, since: MonoTime) -> bool {
         let tracks = self.tracks.borrow();
--- a/src/forward/upstream_track.rs
+++ b/src/forward/upstream_track.rs
@@ -28,12 +28,23 @@
     /// Calls that the upstream has from all of `routers`, as far as known.
     pub fn load(&self, routers: usize, now: MonoTime) -> f64 {
         let own = f64::from(self.own);
-        match self.report {
-            Some((report, own_then, at)) if now.since(at) <= REPORT_LIFE => {
+        match self.fresh_report(now) {
+            Some((report, own_then)) => {
                 let reported = f64::from(report.running + report.waiting);
                 (reported + own - f64::from(own_then)).max(own)
             }
-            _ => own * routers as f64,
+            None => own * routers as f64,
         }
     }
+
+    /// Whether the upstream lately said that calls wait there.
+    pub fn is_queued(&self, now: MonoTime) -> bool {
+        self.fresh_report(now)
+            .is_some_and(|(report, _)| report.waiting > 0)
+    }
+
+    fn fresh_report(&self, now: MonoTime) -> Option<(LoadReport, u32)> {
+        let (report, own_then, at) = self.report?;
+        (now.since(at) <= REPORT_LIFE).then_some((report, own_then))
+    }
 }
