Name the project's own feeds, the forwarding settings and its board apart from the platform

Cause: src/platform.rs (our own feeds) and platform/ were two things of one name, and router_settings and settings could not be told apart. Change: feeds, forward_settings, forward_board; names only.

--- a/src/platform.rs
+++ b/src/feeds.rs
@@ -66,7 +66,7 @@
 
 /// Where the platform answers.
 #[derive(Clone, Copy, Debug)]
-pub struct PlatformAddresses {
+pub struct FeedAddresses {
     /// The configuration service.
     pub config_service: SocketAddr,
     /// The list of VMs.
@@ -74,8 +74,8 @@
 }
 
 /// Watches everything that the platform publishes, for as long as the process lives.
-pub async fn watch_platform(
-    addresses: PlatformAddresses,
+pub async fn watch_feeds(
+    addresses: FeedAddresses,
     control: ControlHandle,
     clock: ProcessClock,
 ) -> RouterResult<()> {
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -18,10 +18,10 @@
 use crate::forward::traffic_state::TrafficState;
 use crate::forward::upstream_answer::{CallPlan, OpenStream, UpstreamAnswer, WholeAnswer};
 use crate::forward::upstream_link::TaskGuard;
+use crate::forward_board::ForwardStage;
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::CallFailure;
 use crate::route::{AccountGrant, RouteRule, RouteTable};
-use crate::router_board::RouterStage;
 
 /// An answer to a caller.
 pub type FrontResponse = ntex::http::Response<RelayBody>;
@@ -119,7 +119,7 @@
         }
     };
     let mut response = answer.unwrap_or_else(|answer| own_response(&answer));
-    if state.board.stage() >= RouterStage::Leaving {
+    if state.board.stage() >= ForwardStage::Leaving {
         response
             .head_mut()
             .set_connection_type(ConnectionType::Close);
@@ -133,7 +133,7 @@
     request: &mut ntex::http::Request,
     began: MonoTime,
 ) -> Result<CallPlan, OwnAnswer> {
-    if state.board.stage() == RouterStage::Closing {
+    if state.board.stage() == ForwardStage::Closing {
         return Err(OwnAnswer::not_run("router stops"));
     }
     let Some(table) = state.board.routes.load_full() else {
--- a/src/forward/front_server.rs
+++ b/src/forward/front_server.rs
@@ -20,8 +20,8 @@
 use crate::forward::relay_body::RelayBody;
 use crate::forward::traffic_state::TrafficState;
 use crate::forward::upstream_link::watch_silence;
+use crate::forward_board::ForwardStage;
 use crate::route::EdgeLimits;
-use crate::router_board::RouterStage;
 use crate::units::ByteSize;
 
 /// Connections that wait to be accepted.
@@ -124,7 +124,7 @@
 }
 
 async fn closing<D: EdgeDialect>(state: &Rc<TrafficState<D>>) {
-    while state.board.stage() < RouterStage::Closing {
+    while state.board.stage() < ForwardStage::Closing {
         tokio::time::sleep(STAGE_PERIOD).await;
     }
 }
@@ -189,7 +189,7 @@
     let target = request.uri().path_and_query().map_or("/", |t| t.as_str());
     let path = request.uri().path();
     if state.dialect.is_ready_call(path) {
-        let ready = state.board.stage() == RouterStage::Serving;
+        let ready = state.board.stage() == ForwardStage::Serving;
         return short_answer(
             if ready {
                 StatusCode::OK
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -14,6 +14,7 @@
 use crate::fleet::upstream_entry::{ServingState, UpstreamEntry};
 use crate::forward::link_pool::LinkPool;
 use crate::forward::upstream_track::UpstreamTrack;
+use crate::forward_board::ForwardBoard;
 use crate::ids::{ServiceId, UpstreamKey};
 use crate::line_gate::LineGate;
 use crate::mono::{MonoTime, ProcessClock};
@@ -22,7 +23,6 @@
 use crate::policy::retry_window::RetryWindow;
 use crate::policy::upstream_choice::{UpstreamOption, UpstreamUse, choose_upstream};
 use crate::route::RouteTable;
-use crate::router_board::RouterBoard;
 use crate::telemetry::{RouterTelemetry, set_count};
 
 /// Slowest link between upstreams over which parts of prompts are copied: several times faster
@@ -34,7 +34,7 @@
     /// The words on the wire.
     pub dialect: D,
     /// What the control thread tells.
-    pub board: Arc<RouterBoard>,
+    pub board: Arc<ForwardBoard>,
     /// The clock of the process.
     pub clock: ProcessClock,
     /// The metrics.
@@ -74,7 +74,7 @@
     /// State without memory of any upstream.
     pub fn new(
         dialect: D,
-        board: Arc<RouterBoard>,
+        board: Arc<ForwardBoard>,
         clock: ProcessClock,
         telemetry: RouterTelemetry,
     ) -> Self {
--- a/src/router_board.rs
+++ b/src/forward_board.rs
@@ -7,13 +7,13 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 
 use crate::fleet::upstream_entry::UpstreamEntry;
+use crate::forward_settings::ForwardSettings;
 use crate::route::RouteTable;
-use crate::router_settings::ForwardSettings;
 
 /// How far a router is in its life.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 #[repr(u8)]
-pub enum RouterStage {
+pub enum ForwardStage {
     /// Lacks a configuration or upstreams.
     Booting,
     /// Takes callers.
@@ -24,7 +24,7 @@
     Closing,
 }
 
-impl RouterStage {
+impl ForwardStage {
     const ALL: [Self; 4] = [Self::Booting, Self::Serving, Self::Leaving, Self::Closing];
 
     /// The name of the stage in logs.
@@ -40,7 +40,7 @@
 
 /// Sections that the control thread writes and the traffic thread reads.
 #[derive(Debug)]
-pub struct RouterBoard {
+pub struct ForwardBoard {
     /// The settings in force.
     pub settings: ArcSwap<ForwardSettings>,
     /// The configuration in force.
@@ -58,7 +58,7 @@
     stage: AtomicU8,
 }
 
-impl RouterBoard {
+impl ForwardBoard {
     /// A board of a router that knows only its settings.
     pub fn new(settings: ForwardSettings) -> Self {
         Self {
@@ -69,17 +69,17 @@
             fleet_size: AtomicUsize::new(1),
             store_heard_ms: AtomicU64::new(0),
             calls: AtomicUsize::new(0),
-            stage: AtomicU8::new(RouterStage::Booting as u8),
+            stage: AtomicU8::new(ForwardStage::Booting as u8),
         }
     }
 
     /// How far the router is in its life.
-    pub fn stage(&self) -> RouterStage {
-        RouterStage::ALL[usize::from(self.stage.load(Ordering::Relaxed))]
+    pub fn stage(&self) -> ForwardStage {
+        ForwardStage::ALL[usize::from(self.stage.load(Ordering::Relaxed))]
     }
 
     /// Changes the stage.
-    pub fn set_stage(&self, stage: RouterStage) {
+    pub fn set_stage(&self, stage: ForwardStage) {
         self.stage.store(stage as u8, Ordering::Relaxed);
     }
 }
--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -21,9 +21,9 @@
 use crate::forward::front_server::listen;
 use crate::forward_control::control_state::ControlState;
 use crate::forward_control::store_task::follow_store;
+use crate::forward_settings::ForwardSettings;
 use crate::gossip::{answer_peer, fetch_documents};
 use crate::ids::IncarnationId;
-use crate::router_settings::ForwardSettings;
 use crate::store_source::StoreSource;
 
 pub use crate::forward_control::control_state::ControlParts;
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -12,15 +12,15 @@
 use crate::fleet::store_belief::{
     BeliefEffect, DocumentCodec, StoreBelief, StoreChange, StoreItem, StoreRevision,
 };
+use crate::forward_board::{ForwardBoard, ForwardStage};
 use crate::forward_control::SettingsSource;
 use crate::forward_control::store_task::StoreWord;
+use crate::forward_settings::ForwardSettings;
 use crate::gossip::frames::{
     DocumentAsk, DocumentFrame, DocumentGive, HeartbeatFrame, MemberFrame,
 };
 use crate::mono::{MonoTime, ProcessClock};
 use crate::route::ConfigVersion;
-use crate::router_board::{RouterBoard, RouterStage};
-use crate::router_settings::ForwardSettings;
 use crate::telemetry::{RouterTelemetry, set_count};
 
 /// A tick this late means that the process was paused: its beliefs are that much older than they
@@ -49,7 +49,7 @@
 /// What the control thread shares with the traffic thread.
 pub struct ControlParts {
     /// The board.
-    pub board: Arc<RouterBoard>,
+    pub board: Arc<ForwardBoard>,
     /// The clock of the process.
     pub clock: ProcessClock,
     /// The metrics.
@@ -58,7 +58,7 @@
 
 /// Beliefs and stage of a forwarding router.
 pub struct ControlState<C> {
-    board: Arc<RouterBoard>,
+    board: Arc<ForwardBoard>,
     clock: ProcessClock,
     telemetry: RouterTelemetry,
     belief: StoreBelief<C>,
@@ -207,7 +207,7 @@
         let silent = self
             .store_heard
             .is_none_or(|heard| now.since(heard) >= PEER_ENTRY_WAIT);
-        let booting = self.board.stage() == RouterStage::Booting;
+        let booting = self.board.stage() == ForwardStage::Booting;
         if self.fetching || !(late_config || (silent && self.store_lost) || booting) {
             return None;
         }
@@ -349,12 +349,12 @@
 
     fn update_stage(&mut self) {
         let known = self.belief.config().is_some() && !self.board.upstreams.load().is_empty();
-        if known && self.board.stage() == RouterStage::Booting {
-            self.enter(RouterStage::Serving);
+        if known && self.board.stage() == ForwardStage::Booting {
+            self.enter(ForwardStage::Serving);
         }
     }
 
-    fn enter(&mut self, stage: RouterStage) {
+    fn enter(&mut self, stage: ForwardStage) {
         self.board.set_stage(stage);
         spdlog::info!("stage", kv: {
             stage: = stage.label(), config: = self.belief.config_version(),
@@ -362,9 +362,9 @@
             calls: = self.board.calls.load(Ordering::Relaxed)
         });
         self.members.set_stage(match stage {
-            RouterStage::Booting => MemberStage::Booting,
-            RouterStage::Serving => MemberStage::Serving,
-            RouterStage::Leaving | RouterStage::Closing => MemberStage::Leaving,
+            ForwardStage::Booting => MemberStage::Booting,
+            ForwardStage::Serving => MemberStage::Serving,
+            ForwardStage::Leaving | ForwardStage::Closing => MemberStage::Leaving,
         });
         self.publish_members(self.now());
     }
@@ -373,7 +373,7 @@
     pub fn stop_asked(&mut self) {
         if self.stop_asked.is_none() {
             self.stop_asked = Some(self.now());
-            self.enter(RouterStage::Leaving);
+            self.enter(ForwardStage::Leaving);
         }
     }
 
@@ -422,12 +422,12 @@
             return false;
         };
         let spent = now.since(asked);
-        if spent >= LEAVING_TIME && self.board.stage() == RouterStage::Leaving {
-            self.enter(RouterStage::Closing);
+        if spent >= LEAVING_TIME && self.board.stage() == ForwardStage::Leaving {
+            self.enter(ForwardStage::Closing);
             return false;
         }
         let grace = self.board.settings.load().stop_grace;
-        let closing = self.board.stage() == RouterStage::Closing;
+        let closing = self.board.stage() == ForwardStage::Closing;
         (closing && calls == 0) || spent + STOP_MARGIN >= grace
     }
 
--- a/src/forward_node.rs
+++ b/src/forward_node.rs
@@ -13,9 +13,9 @@
 use crate::fleet::store_belief::DocumentCodec;
 use crate::forward::front_server::{listen, serve_callers, serve_questions, sweep_state};
 use crate::forward::traffic_state::TrafficState;
+use crate::forward_board::ForwardBoard;
 use crate::forward_control::{ControlParts, ControlStart, SettingsSource, run_control};
 use crate::mono::ProcessClock;
-use crate::router_board::RouterBoard;
 use crate::store_source::StoreSource;
 use crate::telemetry::RouterTelemetry;
 
@@ -33,7 +33,7 @@
 {
     let clock = ProcessClock::start();
     let settings = source.read()?;
-    let board = Arc::new(RouterBoard::new(settings));
+    let board = Arc::new(ForwardBoard::new(settings));
     let telemetry = RouterTelemetry::new()
         .map_err(|error| RouterError::step(StepName::Listen, "metrics", error))?;
     let start = ControlStart {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Calls go down only: `policy` and `fleet` decide and touch no socket, clock or thread;
 //! `control` runs them on one thread and publishes snapshots on the `board`; `entry`,
-//! `upstream`, `peer`, `platform` and `admin` translate between the wire and the decisions.
+//! `upstream`, `peer`, `feeds` and `admin` translate between the wire and the decisions.
 
 pub mod admin;
 pub mod bench;
@@ -16,10 +16,13 @@
 pub mod dialect;
 pub mod entry;
 pub mod error;
+pub mod feeds;
 pub mod fleet;
 pub mod forward;
+pub mod forward_board;
 pub mod forward_control;
 pub mod forward_node;
+pub mod forward_settings;
 pub mod gossip;
 pub mod ids;
 pub mod line_gate;
@@ -29,13 +32,10 @@
 pub mod mono;
 pub mod orders;
 pub mod peer;
-pub mod platform;
 pub mod policy;
 pub mod register;
 pub mod route;
 pub mod router;
-pub mod router_board;
-pub mod router_settings;
 pub mod rules;
 pub mod settings;
 pub mod store_source;
--- a/src/router.rs
+++ b/src/router.rs
@@ -17,12 +17,12 @@
 };
 use crate::entry::serve_callers;
 use crate::error::{RouterError, RouterResult, StepName};
+use crate::feeds::{FeedAddresses, watch_feeds};
 use crate::ids::IncarnationId;
 use crate::metrics::RouterMetrics;
 use crate::mono::ProcessClock;
 use crate::orders::run_calls;
 use crate::peer::{FleetKey, PeerIdentity, accept_peers};
-use crate::platform::{PlatformAddresses, watch_platform};
 use crate::policy::request_scheduler::RequestScheduler;
 use crate::policy::retry_budget::RetryBudget;
 use crate::policy::ticket_ledger::TicketLedger;
@@ -152,12 +152,12 @@
         peers.set_targets(targets_of(seeds.map(|seed| (&seed.vm, seed.peer))));
         let others = self.settings.seeds.iter().filter(|seed| seed.vm != own);
         let unheard: HashSet<_> = others.map(|seed| seed.vm.key()).collect();
-        let addresses = PlatformAddresses {
+        let addresses = FeedAddresses {
             config_service: self.settings.config_service,
             vm_list: self.settings.vm_list,
         };
-        if let Err(error) = watch_platform(addresses, self.control.clone(), self.clock).await {
-            spdlog::error!("platform-watch-failed", kv: { error: = error });
+        if let Err(error) = watch_feeds(addresses, self.control.clone(), self.clock).await {
+            spdlog::error!("feeds-watch-failed", kv: { error: = error });
         }
         let rules = Arc::new(default_rules());
         let scheduler = RequestScheduler::new(own.key(), Arc::clone(&rules));
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -227,7 +227,7 @@
     fn start_routers(&mut self) {
         let mut config_service = self.config.address;
         let settings: Vec<RouterSettings> = (0..self.plan.routers)
-            .map(|index| self.router_settings(index))
+            .map(|index| self.forward_settings(index))
             .collect();
         let mut peers: Vec<SocketAddr> = settings.iter().map(|router| router.peer).collect();
         if let Some(leg) = self.plan.relay {
@@ -266,7 +266,7 @@
         }
     }
 
-    fn router_settings(&self, index: usize) -> RouterSettings {
+    fn forward_settings(&self, index: usize) -> RouterSettings {
         RouterSettings {
             vm: format!("entry-{index}").parse().expect("name"),
             data_center: "dc-1".parse().expect("name"),
