--- a/src/fleet/member_table.rs
+++ b/src/fleet/member_table.rs
@@ -10,7 +10,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
-use crate::ids::{DataCenterKey, IncarnationId};
+use crate::ids::IncarnationId;
 use crate::mono::MonoTime;
 
 /// Time between two rounds of heartbeats.
@@ -19,8 +19,9 @@
 /// Members that one round of heartbeats goes to.
 const ROUND_FANOUT: usize = 3;
 
-/// Records that one heartbeat carries beside the sender's.
-const FRAME_RECORDS: usize = 16;
+/// Records that one heartbeat carries beside the sender's: more would take a router over the 5 KB/s
+/// that it may spend on control.
+const FRAME_RECORDS: usize = 15;
 
 /// Rounds of silence after which a member counts as down, where news need no one in between: a
 /// few datagrams in a row may be lost.
@@ -55,8 +56,6 @@
     pub incarnation: IncarnationId,
     /// How far it is in its life.
     pub stage: MemberStage,
-    /// Its data centre.
-    pub data_center: DataCenterKey,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -73,7 +73,6 @@
         address: settings.address,
         incarnation: IncarnationId(rand::rng().random()),
         stage: MemberStage::Booting,
-        data_center: settings.data_center.key(),
     };
     let state = ControlState::new(start.codec, start.parts, own);
     let state = Rc::new(RefCell::new(state));
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -8,7 +8,7 @@
 
 use crate::fleet::member_table::{MemberRecord, MemberStage};
 use crate::fleet::store_belief::{StoreChange, StoreItem, StoreRevision};
-use crate::ids::{DataCenterKey, IncarnationId};
+use crate::ids::IncarnationId;
 
 /// A member, as a heartbeat tells it.
 #[derive(Clone, PartialEq, Message)]
@@ -22,11 +22,8 @@
     /// 1 booting, 2 serving, 3 leaving.
     #[prost(uint32, tag = "3")]
     pub stage: u32,
-    /// Hash of the data centre.
-    #[prost(fixed64, tag = "4")]
-    pub data_center: u64,
     /// Milliseconds since the sender heard of it.
-    #[prost(uint32, tag = "5")]
+    #[prost(uint32, tag = "4")]
     pub age_ms: u32,
 }
 
@@ -41,7 +38,6 @@
                 MemberStage::Serving => 2,
                 MemberStage::Leaving => 3,
             },
-            data_center: record.data_center.0,
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
         }
     }
@@ -58,7 +54,6 @@
             address: Ipv4Addr::from_bits(self.address),
             incarnation: IncarnationId(self.incarnation),
             stage,
-            data_center: DataCenterKey(self.data_center),
         };
         Some((record, Duration::from_millis(self.age_ms.into())))
     }
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use hawthornrouter::fleet::member_table::{GOSSIP_PERIOD, MemberRecord, MemberStage, MemberTable};
-use hawthornrouter::ids::{DataCenterKey, IncarnationId};
+use hawthornrouter::gossip::frames::{HeartbeatFrame, MemberFrame};
+use hawthornrouter::ids::IncarnationId;
 use hawthornrouter::mono::MonoTime;
+use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -38,7 +40,6 @@
             address: address(index),
             incarnation: IncarnationId(self.rng.random()),
             stage: MemberStage::Serving,
-            data_center: DataCenterKey(1),
         };
         // The first seed never exists.
         let seeds = vec![address(250), address(1), address(2)];
@@ -172,6 +173,37 @@
     assert_eq!(stage(table), Some(MemberStage::Serving));
 }
 
+#[test]
+fn heartbeat_bytes() {
+    // A router's heartbeats stay within the 5 KB/s that it may spend on control.
+    for routers in [4u8, 27, 200] {
+        let mut fleet = Fleet::new(8, 0.0);
+        for index in 1..=routers {
+            fleet.start(index);
+        }
+        fleet.rounds(40);
+        let table = &fleet.tables[&address(1)];
+        let records = table.frame_records(fleet.now, &mut fleet.rng);
+        let frame = HeartbeatFrame {
+            sender: Some(MemberFrame::new(&table.own(), Duration::ZERO)),
+            members: records
+                .iter()
+                .map(|(record, age)| MemberFrame::new(record, *age))
+                .collect(),
+            config_version: 1 << 20,
+            store_revision: 1 << 40,
+        };
+        // Three to members and at times one to a seed, with UDP and IP headers.
+        let rounds_a_second = 1.0 / GOSSIP_PERIOD.as_secs_f64();
+        let bytes = rounds_a_second * 3.25 * (frame.encoded_len() + 28) as f64;
+        assert!(bytes <= 5000.0, "{routers} routers: {bytes} B/s");
+        println!(
+            "{routers} routers: {} records, {bytes:.0} B/s",
+            records.len()
+        );
+    }
+}
+
 #[test]
 fn steady_cost() {
     // Heartbeats a router and second don't grow with the fleet.
