--- a/src/forward.rs
+++ b/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards callers' requests to upstreams, in whatever words both speak.
 
 mod call_wait;
+mod choice_note;
 pub mod event_reader;
 mod front_call;
 pub mod front_handler;
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -1,8 +1,6 @@
 //! One call: its attempts at upstreams until there is an answer for the caller.
 
 use std::borrow::Cow;
-use std::fmt;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +11,7 @@
 
 use crate::dialect::{EdgeDialect, UpstreamOrder};
 use crate::forward::call_wait::CallWait;
+use crate::forward::choice_note::ChoiceNote;
 use crate::forward::event_reader::EventReader;
 use crate::forward::link_pool::LinkTrust;
 use crate::forward::traffic_state::{TrafficState, UpstreamHold};
@@ -20,7 +19,7 @@
     CallPlan, LinkReuse, OpenStream, StreamSource, UpstreamAnswer, WholeAnswer,
 };
 use crate::forward::upstream_link::UpstreamLink;
-use crate::ids::{ServiceId, UpstreamId, UpstreamKey};
+use crate::ids::{ServiceId, UpstreamKey};
 use crate::mono::MonoTime;
 use crate::policy::answer_judge::{AnswerSight, judge_answer};
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
@@ -52,32 +51,6 @@
     ended: bool,
 }
 
-/// What decided the choice of an upstream.
-#[derive(Clone, Debug)]
-struct ChoiceNote {
-    upstream: UpstreamId,
-    /// Its load as this router knew it.
-    load: f64,
-    /// Age of the list of upstreams.
-    belief_ms: u64,
-    /// Whether a kept connection was used.
-    kept: bool,
-    /// Where it was to copy parts of the prompt from.
-    source: Option<SocketAddr>,
-}
-
-impl fmt::Display for ChoiceNote {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let link = if self.kept { "kept" } else { "new" };
-        write!(f, "{},load:{:.0},", self.upstream, self.load)?;
-        write!(f, "belief-ms:{},link:{link}", self.belief_ms)?;
-        match self.source {
-            Some(source) => write!(f, ",source:{source}"),
-            None => Ok(()),
-        }
-    }
-}
-
 impl<D: EdgeDialect> FrontCall<D> {
     /// A call without attempts.
     pub fn new(state: Rc<TrafficState<D>>, plan: CallPlan) -> Self {
@@ -403,23 +376,16 @@
     ) -> Result<(Bytes, bool), AttemptFault> {
         let began = self.state.now();
         loop {
-            let frame = self
-                .within(source.hold.key, began, wait, source.body.frame())
-                .await?;
-            match frame {
-                Some(Ok(frame)) => {
-                    self.state.upstream_heard(source.hold.key);
-                    let Ok(bytes) = frame.into_data() else {
-                        continue;
-                    };
-                    let events = self.reader.push(&bytes)?;
-                    if !events.is_empty() {
-                        return Ok((events, false));
-                    }
-                }
-                Some(Err(_)) => return Err(AttemptFault::Broken),
-                None if self.reader.is_partial() => return Err(AttemptFault::Broken),
-                None => return Ok((Bytes::new(), true)),
+            let Some(bytes) = self.next_bytes(source, began, wait).await? else {
+                return if self.reader.is_partial() {
+                    Err(AttemptFault::Broken)
+                } else {
+                    Ok((Bytes::new(), true))
+                };
+            };
+            let events = self.reader.push(&bytes)?;
+            if !events.is_empty() {
+                return Ok((events, false));
             }
         }
     }
@@ -431,21 +397,36 @@
     ) -> Result<Bytes, AttemptFault> {
         let began = self.state.now();
         let mut whole = BytesMut::new();
+        while let Some(bytes) = self.next_bytes(source, began, wait).await? {
+            whole.extend_from_slice(&bytes);
+            if whole.len() > WHOLE_BYTES {
+                return Err(AttemptFault::BadAnswer);
+            }
+        }
+        Ok(whole.freeze())
+    }
+
+    /// The next bytes of an answer's body; none at its orderly end.
+    async fn next_bytes(
+        &self,
+        source: &mut StreamSource<D>,
+        began: MonoTime,
+        wait: CallWait,
+    ) -> Result<Option<Bytes>, AttemptFault> {
         loop {
             let frame = self
                 .within(source.hold.key, began, wait, source.body.frame())
                 .await?;
             match frame {
+                None => return Ok(None),
+                Some(Err(_)) => return Err(AttemptFault::Broken),
                 Some(Ok(frame)) => {
+                    self.state.upstream_heard(source.hold.key);
+                    // Trailers are no part of the body.
                     if let Ok(bytes) = frame.into_data() {
-                        whole.extend_from_slice(&bytes);
-                    }
-                    if whole.len() > WHOLE_BYTES {
-                        return Err(AttemptFault::BadAnswer);
+                        return Ok(Some(bytes));
                     }
                 }
-                Some(Err(_)) => return Err(AttemptFault::Broken),
-                None => return Ok(whole.freeze()),
             }
         }
     }
--- a/src/log.rs
+++ b/src/log.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use spdlog::formatter::{Formatter, FormatterContext};
 use spdlog::sink::{Sink, StdStream, StdStreamSink, WriteSink};
@@ -18,6 +18,12 @@
 /// Lines are collected for this long, so that a burst costs one write.
 const WRITE_PERIOD: Duration = Duration::from_millis(50);
 
+/// Longest wait for the last lines of a process that ends.
+const FINISH_LIMIT: Duration = Duration::from_millis(250);
+
+/// Lines taken and not yet written.
+static LINES_QUEUED: AtomicU64 = AtomicU64::new(0);
+
 /// Lines left out since the last line that told of them.
 static LINES_LEFT_OUT: AtomicU64 = AtomicU64::new(0);
 
@@ -51,16 +57,20 @@
     writeln!(dest)
 }
 
+fn install(sink: Arc<dyn Sink>, level: LevelFilter) {
+    if let Ok(logger) = Logger::builder().sink(sink).level_filter(level).build() {
+        spdlog::set_default_logger(Arc::new(logger));
+    }
+}
+
 /// Sends every log line of this process to standard error in the pair form.
 pub fn init(level: LevelFilter) {
     let sink = StdStreamSink::builder()
         .std_stream(StdStream::Stderr)
         .formatter(PairFormatter)
         .build();
-    let Ok(sink) = sink else { return };
-    let sink: Arc<dyn Sink> = Arc::new(sink);
-    if let Ok(logger) = Logger::builder().sink(sink).level_filter(level).build() {
-        spdlog::set_default_logger(Arc::new(logger));
+    if let Ok(sink) = sink {
+        install(Arc::new(sink), level);
     }
 }
 
@@ -79,10 +89,8 @@
         .target(LineQueue(lines))
         .formatter(PairFormatter)
         .build();
-    let Ok(sink) = sink else { return };
-    let sink: Arc<dyn Sink> = Arc::new(sink);
-    if let Ok(logger) = Logger::builder().sink(sink).level_filter(level).build() {
-        spdlog::set_default_logger(Arc::new(logger));
+    if let Ok(sink) = sink {
+        install(Arc::new(sink), level);
     }
 }
 
@@ -91,7 +99,9 @@
 
 impl Write for LineQueue {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        LINES_QUEUED.fetch_add(1, Ordering::Relaxed);
         if self.0.try_send(line.to_vec()).is_err() {
+            LINES_QUEUED.fetch_sub(1, Ordering::Relaxed);
             LINES_LEFT_OUT.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -106,8 +116,10 @@
     let mut stdout = io::stdout();
     while let Ok(mut text) = queue.recv() {
         thread::sleep(WRITE_PERIOD);
+        let mut lines = 1;
         while let Ok(line) = queue.try_recv() {
             text.extend_from_slice(&line);
+            lines += 1;
         }
         let left_out = LINES_LEFT_OUT.swap(0, Ordering::Relaxed);
         if left_out > 0 {
@@ -121,5 +133,14 @@
         {
             return;
         }
+        LINES_QUEUED.fetch_sub(lines, Ordering::Relaxed);
+    }
+}
+
+/// Waits for the lines of [`init_stdout`] that are not written yet, for a short time at most.
+pub fn finish() {
+    let start = Instant::now();
+    while LINES_QUEUED.load(Ordering::Relaxed) > 0 && start.elapsed() < FINISH_LIMIT {
+        thread::sleep(WRITE_PERIOD / 5);
     }
 }
