Pause before a lost history is read anew

Cause: read in the change: a store that answers each watch with a lost history would be asked in a loop without a pause.

--- a/src/forward_control/store_task.rs
+++ b/src/forward_control/store_task.rs
@@ -19,6 +19,10 @@
 /// Pause after changes, so that a burst costs a few calls.
 const NEWS_PAUSE: Duration = Duration::from_millis(150);
 
+/// Pause before everything is read anew, so that a store that keeps losing its history is not
+/// asked without end.
+const HISTORY_PAUSE: Duration = Duration::from_millis(50);
+
 /// What the store said.
 #[derive(Debug)]
 pub enum StoreWord {
@@ -77,7 +81,7 @@
             }
             Err(StoreFault::HistoryLost) => {
                 after = None;
-                (StoreWord::HistoryLost, Duration::ZERO)
+                (StoreWord::HistoryLost, HISTORY_PAUSE)
             }
             Err(StoreFault::Failed(error)) => {
                 let pause = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
