--- a/src/forward.rs
+++ b/src/forward.rs
@@ -2,6 +2,7 @@
 
 mod call_wait;
 mod choice_note;
+pub mod connection_headers;
 pub mod event_reader;
 mod front_call;
 pub mod front_handler;
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc::channel;
 
 use crate::dialect::{CallHead, EdgeDialect};
+use crate::forward::connection_headers::{is_connection_header, named_headers};
 use crate::forward::front_call::FrontCall;
 use crate::forward::relay_body::{RelayBody, StreamPiece};
 use crate::forward::traffic_state::TrafficState;
@@ -326,13 +327,7 @@
 
 /// Passes an upstream's headers on, without those of the connection.
 fn pass_headers(headers: &HeaderMap, response: &mut FrontResponse) {
-    let named: Vec<String> = headers
-        .get_all(http::header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|token| token.trim().to_ascii_lowercase())
-        .collect();
+    let named = named_headers(headers);
     for (name, value) in headers {
         if is_connection_header(name) || named.iter().any(|token| token == name.as_str()) {
             continue;
@@ -345,23 +340,6 @@
     }
 }
 
-/// Whether a header concerns one connection only, or is written anew on each.
-pub fn is_connection_header(name: &HeaderName) -> bool {
-    matches!(
-        name.as_str(),
-        "connection"
-            | "content-length"
-            | "keep-alive"
-            | "proxy-authenticate"
-            | "proxy-authorization"
-            | "proxy-connection"
-            | "te"
-            | "trailer"
-            | "transfer-encoding"
-            | "upgrade"
-    )
-}
-
 fn own_response(answer: &OwnAnswer) -> FrontResponse {
     let body = RelayBody::Whole(Some(Bytes::from_static(answer.reason.as_bytes())));
     let mut response = ntex::http::Response::with_body(answer.status, body);
--- a/src/forward/upstream_answer.rs
+++ b/src/forward/upstream_answer.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, HeaderMap};
+use http::header::HeaderMap;
 use http::{Response, StatusCode, Version};
 use hyper::body::Incoming;
 
 use crate::dialect::{CallHead, EdgeDialect};
+use crate::forward::connection_headers::named_headers;
 use crate::forward::traffic_state::UpstreamHold;
 use crate::forward::upstream_link::UpstreamLink;
 use crate::mono::MonoTime;
@@ -89,12 +90,7 @@
     /// What the answer says; `wrote_all` tells whether the call had been written whole.
     pub fn of(response: &Response<Incoming>, wrote_all: bool) -> Self {
         let headers = response.headers();
-        let closes = headers
-            .get_all(CONNECTION)
-            .iter()
-            .filter_map(|value| value.to_str().ok())
-            .flat_map(|value| value.split(','))
-            .any(|token| token.trim().eq_ignore_ascii_case("close"));
+        let closes = named_headers(headers).iter().any(|name| name == "close");
         let idle = headers
             .get("keep-alive")
             .and_then(|value| value.to_str().ok())
