Send every call through one HTTP client on the forwarding core's link

The same client carried engine calls, orders and control posts of the product, so a settled order could be reported as unknown.

--- a/src/bin/hawthorn-locator.rs
+++ b/src/bin/hawthorn-locator.rs
@@ -30,7 +30,7 @@
     };
     let settings = open_locator_settings(&path)?;
     run_in_system("locator", async move || {
-        let server = serve_locator(settings).await?;
+        let server = serve_locator(settings)?;
         wait_for_signal().await;
         server.stop(true).await;
         Ok(())
--- a/src/client.rs
+++ b/src/client.rs
@@ -1,60 +1,282 @@
-//! HTTP clients towards upstreams and the platform.
+//! The HTTP client towards upstreams, the platform and other processes of this product.
 //!
-//! Every call of a caller goes out on a connection of its own: an idle connection may have been
-//! forgotten by something between the two ends, and a call on it would hang. Redirects are never followed,
-//! because a followed one could send a call twice.
+//! A call of a caller goes out on a connection of its own: an idle connection may have been
+//! forgotten by something between the two ends, and a call on it would hang. Redirects are never
+//! followed, because a followed one could send a call twice.
 
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use ntex::SharedCfg;
-use ntex::client::error::ClientError;
-use ntex::client::{Client, ClientBuilder, Connector};
-use ntex::io::IoConfig;
-use ntex::time::{Millis, Seconds};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::{Instant, timeout_at};
 
-use crate::error::{RouterError, RouterResult, StepName};
+use crate::forward::upstream_link::UpstreamLink;
+use crate::policy::call_attempts::{AttemptFault, RunVerdict};
 
 /// Longest time to open a connection to an upstream.
 pub const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
-/// Connections that one client may have open at once.
-const MAX_CONNECTIONS: usize = 4096;
+/// What one call may take.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Longest time from the call to the end of an answer that is read whole, and to the head of
+    /// one that is streamed.
+    pub answer: Duration,
+    /// Largest body of an answer that is read whole, in bytes.
+    pub body_bytes: usize,
+}
+
+/// A call to a known address.
+#[derive(Clone, Debug)]
+pub struct HttpCall {
+    address: SocketAddr,
+    method: Method,
+    target: String,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl HttpCall {
+    /// Reads `target`, a path with its query.
+    pub fn get(address: SocketAddr, target: impl Into<String>) -> Self {
+        Self::new(address, Method::GET, target.into())
+    }
+
+    /// Posts to `target`, a path with its query.
+    pub fn post(address: SocketAddr, target: impl Into<String>) -> Self {
+        Self::new(address, Method::POST, target.into())
+    }
+
+    /// Whom it goes to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn new(address: SocketAddr, method: Method, target: String) -> Self {
+        Self {
+            address,
+            method,
+            target,
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Adds a header; one whose value may not stand in a head is left out with a log line.
+    #[must_use]
+    pub fn header(mut self, name: &'static str, value: &str) -> Self {
+        match HeaderValue::from_str(value) {
+            Ok(value) => {
+                self.headers.insert(HeaderName::from_static(name), value);
+            }
+            Err(error) => spdlog::warn!("header-left-out", kv: { name, error: = error }),
+        }
+        self
+    }
+
+    /// Adds a bearer token.
+    #[must_use]
+    pub fn bearer(self, token: &str) -> Self {
+        self.header("authorization", &format!("Bearer {token}"))
+    }
+
+    /// Adds a body of JSON text.
+    #[must_use]
+    pub fn json_text(self, body: impl Into<Bytes>) -> Self {
+        let mut call = self.header("content-type", "application/json");
+        call.body = body.into();
+        call
+    }
+
+    /// Adds a value as JSON.
+    pub fn json<T: Serialize>(self, value: &T) -> serde_json::Result<Self> {
+        serde_json::to_vec(value).map(|text| self.json_text(text))
+    }
+
+    fn request(&self, keep: bool) -> http::Result<Request<Full<Bytes>>> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(&self.target)
+            .header(header::HOST, self.address.to_string());
+        if let Some(headers) = request.headers_mut() {
+            headers.extend(self.headers.clone());
+            if !keep {
+                headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+        }
+        request.body(Full::new(self.body.clone()))
+    }
+}
+
+/// Why a call got no answer.
+#[derive(Debug)]
+pub enum CallFault {
+    /// The call can't be written: its target is no path.
+    Malformed(http::Error),
+    /// No connection was made.
+    Unreachable(std::io::Error),
+    /// The connection failed, or the answer was none.
+    Failed(AttemptFault),
+    /// The answer's body broke, or is larger than allowed.
+    Body(String),
+    /// The answer took too long.
+    Late,
+    /// The answer's body is not the expected JSON.
+    Json(serde_json::Error),
+}
 
-/// How long a connection for short questions is kept.
-const QUESTION_KEEP: Seconds = Seconds(5);
+impl CallFault {
+    /// Whether it is known that the call did not run.
+    pub fn not_run(&self) -> bool {
+        match self {
+            Self::Malformed(_) | Self::Unreachable(_) => true,
+            Self::Failed(fault) => fault.verdict() == RunVerdict::NotRun,
+            Self::Body(_) | Self::Late | Self::Json(_) => false,
+        }
+    }
+}
 
-/// Builds a client for short questions that are asked again and again. It keeps its connections:
-/// one that went silent costs one question its time limit and is dropped.
-pub async fn build_question_client(answer: Duration, payload_bytes: usize) -> RouterResult<Client> {
-    build(answer, payload_bytes, QUESTION_KEEP).await
+impl fmt::Display for CallFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(error) => write!(f, "call can't be written: {error}"),
+            Self::Unreachable(error) => write!(f, "connect: {error}"),
+            Self::Failed(fault) => f.write_str(fault.label()),
+            Self::Body(text) => write!(f, "body: {text}"),
+            Self::Late => f.write_str("took too long"),
+            Self::Json(error) => write!(f, "answer: {error}"),
+        }
+    }
 }
 
-/// Builds a client; `answer` bounds the time to the head of an answer, `payload_bytes` its body.
-pub async fn build_client(answer: Duration, payload_bytes: usize) -> RouterResult<Client> {
-    build(answer, payload_bytes, Seconds::ONE).await
+impl std::error::Error for CallFault {}
+
+/// Connections that may carry another question, at most one an address.
+type IdleLinks = Arc<Mutex<HashMap<SocketAddr, UpstreamLink>>>;
+
+/// Sends calls; clones share what is kept.
+#[derive(Clone)]
+pub struct HttpClient {
+    limits: ClientLimits,
+    /// None where every call has a connection of its own.
+    idle: Option<IdleLinks>,
+}
+
+impl HttpClient {
+    /// A client that opens a connection for every call.
+    pub fn new(limits: ClientLimits) -> Self {
+        Self { limits, idle: None }
+    }
+
+    /// A client for short questions that are asked again and again. It keeps its connections: one
+    /// that went silent costs one question its time limit and is dropped.
+    pub fn keeping(limits: ClientLimits) -> Self {
+        Self {
+            limits,
+            idle: Some(IdleLinks::default()),
+        }
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    pub async fn send(&self, call: HttpCall) -> Result<HttpAnswer, CallFault> {
+        self.send_within(call, self.limits.answer).await
+    }
+
+    /// Sends a call whose answer has another time limit than those of this client.
+    pub async fn send_within(
+        &self,
+        call: HttpCall,
+        limit: Duration,
+    ) -> Result<HttpAnswer, CallFault> {
+        let due = Instant::now() + limit;
+        let request = call
+            .request(self.idle.is_some())
+            .map_err(CallFault::Malformed)?;
+        let mut link = match self.take(call.address) {
+            Some(link) => link,
+            None => UpstreamLink::open(call.address, self.limits.connect.min(limit))
+                .await
+                .map_err(CallFault::Unreachable)?,
+        };
+        let response = timeout_at(due, link.send(request, call.body.len()))
+            .await
+            .map_err(|_| CallFault::Late)?
+            .map_err(CallFault::Failed)?;
+        let keep = self
+            .idle
+            .clone()
+            .filter(|_| response.status().as_u16() < 500);
+        Ok(HttpAnswer {
+            response,
+            link,
+            due,
+            body_bytes: self.limits.body_bytes,
+            keep: keep.map(|idle| (idle, call.address)),
+        })
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<UpstreamLink> {
+        let mut idle = lock(self.idle.as_ref()?);
+        idle.remove(&address).filter(UpstreamLink::usable)
+    }
 }
 
-async fn build(answer: Duration, payload_bytes: usize, keep: Seconds) -> RouterResult<Client> {
-    let connector = Connector::default().limit(MAX_CONNECTIONS).keep_alive(keep);
-    let io = IoConfig::new().set_connect_timeout(to_millis(CONNECT_LIMIT));
-    ClientBuilder::new()
-        .connector::<()>(connector)
-        .disable_redirects()
-        .no_default_headers()
-        .response_timeout(to_millis(answer))
-        .response_payload_timeout(to_millis(answer))
-        .response_payload_limit(payload_bytes)
-        .build(SharedCfg::new("client").add(io))
-        .await
-        .map_err(|error| RouterError::step(StepName::Connect, "client", error))
+fn lock(idle: &IdleLinks) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, UpstreamLink>> {
+    idle.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// The same time in the library's unit, at least one millisecond since zero means no limit.
-pub fn to_millis(span: Duration) -> Millis {
-    Millis(u32::try_from(span.as_millis()).unwrap_or(u32::MAX).max(1))
+/// An answer whose head has come.
+pub struct HttpAnswer {
+    response: Response<Incoming>,
+    link: UpstreamLink,
+    due: Instant,
+    body_bytes: usize,
+    /// Where the connection goes once the body was read.
+    keep: Option<(IdleLinks, SocketAddr)>,
 }
 
-/// Whether an error proves that no byte of the request was written.
-pub fn proves_unsent(error: &ClientError) -> bool {
-    matches!(error, ClientError::Url(_) | ClientError::Connect(_))
+impl HttpAnswer {
+    /// The status.
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// The text of a header; none where it is absent or no text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.response.headers().get(name)?.to_str().ok()
+    }
+
+    /// Reads the body whole.
+    pub async fn bytes(self) -> Result<Bytes, CallFault> {
+        let body = Limited::new(self.response.into_body(), self.body_bytes).collect();
+        let body = timeout_at(self.due, body)
+            .await
+            .map_err(|_| CallFault::Late)?
+            .map_err(|error| CallFault::Body(error.to_string()))?;
+        if let Some((idle, address)) = self.keep {
+            lock(&idle).insert(address, self.link);
+        }
+        Ok(body.to_bytes())
+    }
+
+    /// Reads the body whole, as JSON.
+    pub async fn json<T: DeserializeOwned>(self) -> Result<T, CallFault> {
+        let body = self.bytes().await?;
+        serde_json::from_slice(&body).map_err(CallFault::Json)
+    }
+
+    /// The body as it comes, and the connection that must live as long as it is read.
+    pub fn into_stream(self) -> (BodyDataStream<Incoming>, UpstreamLink) {
+        (self.response.into_body().into_data_stream(), self.link)
+    }
 }
--- a/src/cmd/admin_call.rs
+++ b/src/cmd/admin_call.rs
@@ -4,11 +4,10 @@
 use std::path::Path;
 use std::time::Duration;
 
-use ntex::client::ClientRequest;
 use ntex::rt::{DefaultRuntime, System};
 use serde::de::DeserializeOwned;
 
-use crate::client::build_client;
+use crate::client::{CONNECT_LIMIT, ClientLimits, HttpCall, HttpClient};
 use crate::config::read_text;
 use crate::error::{RouterError, RouterResult};
 
@@ -35,15 +34,12 @@
     path: &str,
 ) -> RouterResult<String> {
     let token = read_text(token)?.trim().to_owned();
-    let url = format!("http://{admin}{path}");
-    System::new("hawthornctl", DefaultRuntime).block_on(async move {
-        let client = build_client(ANSWER_LIMIT, ANSWER_BYTES).await?;
-        let request = match method {
-            AdminMethod::Get => client.get(&url),
-            AdminMethod::Post => client.post(&url),
-        };
-        send(admin, request, &token).await
-    })
+    let call = match method {
+        AdminMethod::Get => HttpCall::get(admin, path),
+        AdminMethod::Post => HttpCall::post(admin, path),
+    };
+    let call = call.bearer(&token);
+    System::new("hawthornctl", DefaultRuntime).block_on(send(admin, call))
 }
 
 /// Calls a router and parses its answer.
@@ -52,18 +48,18 @@
     serde_json::from_str(&text).map_err(|error| RouterError::Failed(format!("{admin}: {error}")))
 }
 
-async fn send(admin: SocketAddr, request: ClientRequest, token: &str) -> RouterResult<String> {
+async fn send(admin: SocketAddr, call: HttpCall) -> RouterResult<String> {
     let fault = |text: String| RouterError::Failed(format!("{admin}: {text}"));
-    let request = request.bearer_auth(token).force_close();
-    let response = request
-        .send()
-        .await
-        .map_err(|error| fault(error.to_string()))?;
-    let status = response.status();
-    let body = response
-        .body()
-        .await
-        .map_err(|error| fault(error.to_string()))?;
+    let client = HttpClient::new(ClientLimits {
+        connect: CONNECT_LIMIT,
+        answer: ANSWER_LIMIT,
+        body_bytes: ANSWER_BYTES,
+    });
+    let answer = client.send(call).await;
+    let answer = answer.map_err(|error| fault(error.to_string()))?;
+    let status = answer.status();
+    let body = answer.bytes().await;
+    let body = body.map_err(|error| fault(error.to_string()))?;
     let text = String::from_utf8_lossy(&body).into_owned();
     if status.is_success() {
         Ok(text)
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use ntex::SharedCfg;
-use ntex::client::Client;
 use ntex::http::HttpServiceConfig;
 use ntex::server::Server;
 use ntex::time::Seconds;
@@ -17,7 +16,7 @@
 use serde::Deserialize;
 
 use crate::board::{Board, ConfigSection, LifeStage};
-use crate::client::build_client;
+use crate::client::{CONNECT_LIMIT, ClientLimits, HttpClient};
 use crate::control::ControlHandle;
 use crate::error::{RouterError, RouterResult, StepName};
 use crate::mono::ProcessClock;
@@ -52,7 +51,7 @@
     /// The clock of this process.
     pub clock: ProcessClock,
     /// The client towards engines, one a thread.
-    pub client: Client,
+    pub client: HttpClient,
 }
 
 /// Opens the listener and serves callers until it is stopped.
@@ -68,10 +67,11 @@
     let server = HttpServer::new(async move || {
         let board = Arc::clone(&board);
         let control = control.clone();
-        // A client without options has no way to fail.
-        let client = build_client(ANSWER_LIMIT, PAYLOAD_LIMIT)
-            .await
-            .expect("client options hold");
+        let client = HttpClient::new(ClientLimits {
+            connect: CONNECT_LIMIT,
+            answer: ANSWER_LIMIT,
+            body_bytes: PAYLOAD_LIMIT,
+        });
         App::new()
             .state(EntryState {
                 board,
--- a/src/feeds.rs
+++ b/src/feeds.rs
@@ -5,13 +5,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ntex::client::{Client, ClientResponse};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::oneshot;
 
 use crate::bundle::{ConfigManifest, MANIFEST_KEY, PartDigest, PartStore};
-use crate::client::{build_client, build_question_client};
+use crate::client::{CONNECT_LIMIT, CallFault, ClientLimits, HttpCall, HttpClient};
 use crate::control::{
     ControlEvent, ControlHandle, EngineWord, ListedVm, ManifestOffer, PartsOffer, ProbeTarget,
     VmListWord,
@@ -74,15 +73,15 @@
 }
 
 /// Watches everything that the platform publishes, for as long as the process lives.
-pub async fn watch_feeds(
-    addresses: FeedAddresses,
-    control: ControlHandle,
-    clock: ProcessClock,
-) -> RouterResult<()> {
-    let watch = build_client(WATCH_WAIT + WATCH_MARGIN, MAX_VALUE_BYTES).await?;
-    let short = build_question_client(SHORT_LIMIT, MAX_VALUE_BYTES).await?;
+pub fn watch_feeds(addresses: FeedAddresses, control: ControlHandle, clock: ProcessClock) {
+    let limits = |answer| ClientLimits {
+        connect: CONNECT_LIMIT,
+        answer,
+        body_bytes: MAX_VALUE_BYTES,
+    };
+    let short = HttpClient::keeping(limits(SHORT_LIMIT));
     let config = ConfigWatch {
-        client: watch,
+        client: HttpClient::new(limits(WATCH_WAIT + WATCH_MARGIN)),
         address: addresses.config_service,
         control: control.clone(),
         clock,
@@ -95,11 +94,10 @@
         clock,
     ));
     ntex::rt::spawn(probe_engines(short, control, clock));
-    Ok(())
 }
 
 struct ConfigWatch {
-    client: Client,
+    client: HttpClient,
     address: SocketAddr,
     control: ControlHandle,
     clock: ProcessClock,
@@ -180,23 +178,17 @@
         after: u64,
         wait: Duration,
     ) -> RouterResult<Option<ServiceValue>> {
-        let url = format!(
-            "http://{}/v1/values/{key}?after={after}&wait_ms={}",
-            self.address,
+        let target = format!(
+            "/v1/values/{key}?after={after}&wait_ms={}",
             wait.as_millis()
         );
-        get_json(
-            &self.client,
-            &url,
-            StepName::ConfigRead,
-            wait + WATCH_MARGIN,
-        )
-        .await
+        let call = HttpCall::get(self.address, target);
+        get_json(&self.client, call, StepName::ConfigRead).await
     }
 }
 
 async fn watch_list(
-    client: Client,
+    client: HttpClient,
     address: SocketAddr,
     control: ControlHandle,
     clock: ProcessClock,
@@ -204,8 +196,8 @@
     let mut version = 0;
     loop {
         let asked = clock.now();
-        let url = format!("http://{address}/v1/vms?after={version}");
-        match get_json::<VmListBody>(&client, &url, StepName::VmList, SHORT_LIMIT).await {
+        let call = HttpCall::get(address, format!("/v1/vms?after={version}"));
+        match get_json::<VmListBody>(&client, call, StepName::VmList).await {
             Ok(body) => {
                 let vms = body.map(|body| {
                     version = body.version;
@@ -222,7 +214,7 @@
     }
 }
 
-async fn probe_engines(client: Client, control: ControlHandle, clock: ProcessClock) {
+async fn probe_engines(client: HttpClient, control: ControlHandle, clock: ProcessClock) {
     loop {
         let targets = control
             .ask(ControlEvent::ProbeTargets)
@@ -236,14 +228,14 @@
 }
 
 async fn probe_engine(
-    client: Client,
+    client: HttpClient,
     target: ProbeTarget,
     control: ControlHandle,
     clock: ProcessClock,
 ) {
     let said = clock.now();
-    let url = format!("http://{}/v1/load", target.address);
-    let read = get_json::<LoadBody>(&client, &url, StepName::LoadReport, SHORT_LIMIT).await;
+    let call = HttpCall::get(target.address, "/v1/load");
+    let read = get_json::<LoadBody>(&client, call, StepName::LoadReport).await;
     let report = match read {
         Ok(body) => body.map(|body| EngineReport {
             said,
@@ -261,27 +253,23 @@
 
 /// Reads a JSON answer; none for an answer without content.
 async fn get_json<T: DeserializeOwned>(
-    client: &Client,
-    url: &str,
+    client: &HttpClient,
+    call: HttpCall,
     step: StepName,
-    limit: Duration,
 ) -> RouterResult<Option<T>> {
-    let fault = |text: String| RouterError::step_text(step, url, &text);
-    let read = async {
-        let response = client.get(url).send().await;
-        let response = response.map_err(|error| fault(error.to_string()))?;
-        match response.status().as_u16() {
-            200 => read_json(response).await.map_err(fault).map(Some),
-            204 | 304 => Ok(None),
-            status => Err(fault(format!("status {status}"))),
+    let peer = call.address();
+    let fault = |fault: CallFault| RouterError::step(step, peer, fault);
+    let answer = client.send(call).await.map_err(fault)?;
+    match answer.status().as_u16() {
+        200 => answer.json().await.map(Some).map_err(fault),
+        204 | 304 => {
+            // Read to its end, so that the connection can be kept.
+            answer.bytes().await.map_err(fault)?;
+            Ok(None)
         }
-    };
-    let bounded = tokio::time::timeout(limit, read).await;
-    bounded.unwrap_or_else(|_| Err(fault("took too long".to_owned())))
-}
-
-async fn read_json<T: DeserializeOwned>(response: ClientResponse) -> Result<T, String> {
-    let body = response.body().limit(MAX_VALUE_BYTES).await;
-    let body = body.map_err(|error| error.to_string())?;
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
+        status => {
+            let text = format!("status {status}");
+            Err(RouterError::step_text(step, peer, &text))
+        }
+    }
 }
--- a/src/locator.rs
+++ b/src/locator.rs
@@ -10,13 +10,13 @@
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
 
-use ntex::client::Client;
+use http::StatusCode;
 use ntex::server::Server;
 use ntex::web::{self, App, HttpResponse, HttpServer};
 use serde::{Deserialize, Serialize};
 
 use crate::board::{HomeEntry, HomeSection};
-use crate::client::build_client;
+use crate::client::{CONNECT_LIMIT, ClientLimits, HttpCall, HttpClient};
 use crate::error::{RouterError, RouterResult, StepName};
 use crate::ids::{ChatId, EngineKey, ModelId, VmId, VmKey};
 use crate::mono::{MonoTime, ProcessClock};
@@ -149,7 +149,7 @@
 }
 
 /// Opens the locator's listener and probes the entry VMs until it is stopped.
-pub async fn serve_locator(settings: LocatorSettings) -> RouterResult<Server> {
+pub fn serve_locator(settings: LocatorSettings) -> RouterResult<Server> {
     let listen = settings.listen;
     let state = Arc::new(LocatorState {
         settings,
@@ -157,15 +157,11 @@
         probes: RwLock::new(HashMap::new()),
         homes: RwLock::new(HomeSection::default()),
     });
-    let client = build_client(PROBE_LIMIT, PROBE_BYTES).await?;
-    ntex::rt::spawn(probe_forever(client, Arc::clone(&state)));
+    ntex::rt::spawn(probe_forever(probe_client(), Arc::clone(&state)));
     let server = HttpServer::new(async move || {
-        let client = build_client(PROBE_LIMIT, PROBE_BYTES)
-            .await
-            .expect("client options hold");
         App::new()
             .state(Arc::clone(&state))
-            .state(client)
+            .state(probe_client())
             .route("/v1/entry", web::get().to(entry))
     });
     let server = server
@@ -179,7 +175,7 @@
 async fn entry(
     query: web::types::Query<EntryQuery>,
     state: web::types::State<Arc<LocatorState>>,
-    client: web::types::State<Client>,
+    client: web::types::State<HttpClient>,
 ) -> HttpResponse {
     if state.is_stale() {
         probe_all(&client, &state).await;
@@ -196,14 +192,14 @@
     }
 }
 
-async fn probe_forever(client: Client, state: Arc<LocatorState>) {
+async fn probe_forever(client: HttpClient, state: Arc<LocatorState>) {
     loop {
         probe_all(&client, &state).await;
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
 }
 
-async fn probe_all(client: &Client, state: &LocatorState) {
+async fn probe_all(client: &HttpClient, state: &LocatorState) {
     let probes = state
         .settings
         .vms
@@ -212,15 +208,10 @@
     futures_util::future::join_all(probes).await;
 }
 
-async fn probe(client: &Client, state: &LocatorState, target: &LocatorTarget) {
+async fn probe(client: &HttpClient, state: &LocatorState, target: &LocatorTarget) {
     let at = state.clock.now();
-    let url = format!(
-        "http://{}/v1/ready?homes={}",
-        target.entry,
-        state.homes_version()
-    );
-    let answered = tokio::time::timeout(PROBE_LIMIT, read_ready(client, &url)).await;
-    let answer = answered.unwrap_or(ReadyAnswer::NotReady);
+    let path = format!("/v1/ready?homes={}", state.homes_version());
+    let answer = read_ready(client, HttpCall::get(target.entry, path)).await;
     state.write(
         target.vm.key(),
         !matches!(answer, ReadyAnswer::NotReady),
@@ -238,14 +229,29 @@
     Homes(HomeSection),
 }
 
-async fn read_ready(client: &Client, url: &str) -> ReadyAnswer {
-    let Ok(response) = client.get(url).force_close().send().await else {
-        return ReadyAnswer::NotReady;
+async fn read_ready(client: &HttpClient, call: HttpCall) -> ReadyAnswer {
+    let answer = match client.send(call).await {
+        Ok(answer) if answer.status() == StatusCode::OK => answer,
+        Ok(answer) if answer.status().is_success() => return ReadyAnswer::Ready,
+        Ok(_) => return ReadyAnswer::NotReady,
+        Err(fault) => {
+            spdlog::debug!("probe-failed", kv: { error: = fault });
+            return ReadyAnswer::NotReady;
+        }
     };
-    if !response.status().is_success() {
-        return ReadyAnswer::NotReady;
+    match answer.json().await {
+        Ok(section) => ReadyAnswer::Homes(section),
+        Err(fault) => {
+            spdlog::warn!("homes-unreadable", kv: { error: = fault });
+            ReadyAnswer::Ready
+        }
     }
-    let body = response.body().limit(PROBE_BYTES).await.ok();
-    let section = body.and_then(|body| serde_json::from_slice(&body).ok());
-    section.map_or(ReadyAnswer::Ready, ReadyAnswer::Homes)
+}
+
+fn probe_client() -> HttpClient {
+    HttpClient::new(ClientLimits {
+        connect: CONNECT_LIMIT,
+        answer: PROBE_LIMIT,
+        body_bytes: PROBE_BYTES,
+    })
 }
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -2,15 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use bytes::Bytes;
-use ntex::client::error::ClientError;
-use ntex::client::{Client, ClientResponse};
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::board::Board;
-use crate::client::{build_client, proves_unsent};
+use crate::client::{CONNECT_LIMIT, CallFault, ClientLimits, HttpAnswer, HttpCall, HttpClient};
 use crate::control::{CallPlan, ControlEvent, ControlHandle};
 use crate::policy::placement::{WeightedChoice, rendezvous_order};
 use crate::policy::ticket_ledger::{CallOutcome, CallRecord};
@@ -49,13 +45,15 @@
         return not_run("service is not in the register");
     };
     let limit = config.bundle.rules.service_answer.0;
-    let Ok(client) = build_client(limit, MAX_ANSWER_BYTES).await else {
-        return not_run("no client");
-    };
+    let client = HttpClient::new(ClientLimits {
+        connect: CONNECT_LIMIT,
+        answer: limit,
+        body_bytes: MAX_ANSWER_BYTES,
+    });
     for address in instance_order(plan.serial, &service.addresses) {
-        match send(&client, address, &service.id.to_string(), &plan, limit).await {
-            Ok(response) => return read_answer(response, limit).await,
-            Err(error) if proves_unsent(&error) => {
+        match send(&client, address, &service.id.to_string(), &plan).await {
+            Ok(answer) => return read_answer(answer).await,
+            Err(error) if error.not_run() => {
                 spdlog::warn!("service-unreachable", kv: {
                     step = "connect", peer: = address, error: = error
                 });
@@ -72,33 +70,28 @@
 }
 
 async fn send(
-    client: &Client,
+    client: &HttpClient,
     address: SocketAddr,
     service: &str,
     plan: &CallPlan,
-    limit: Duration,
-) -> Result<ClientResponse, ClientError> {
-    let call = client
-        .post(format!("http://{address}/v1/services/{service}"))
-        .force_close()
-        .content_type("application/json")
-        .send_body(ntex::util::Bytes::copy_from_slice(&plan.body));
-    tokio::time::timeout(limit, call)
-        .await
-        .unwrap_or(Err(ClientError::Timeout))
+) -> Result<HttpAnswer, CallFault> {
+    let call = HttpCall::post(address, format!("/v1/services/{service}"));
+    client.send(call.json_text(plan.body.clone())).await
 }
 
-async fn read_answer(response: ClientResponse, limit: Duration) -> CallRecord {
-    let status = response.status().as_u16();
-    let body = tokio::time::timeout(limit, response.body().limit(MAX_ANSWER_BYTES)).await;
-    match body {
-        Ok(Ok(body)) => CallRecord {
+async fn read_answer(answer: HttpAnswer) -> CallRecord {
+    let status = answer.status().as_u16();
+    match answer.bytes().await {
+        Ok(body) => CallRecord {
             outcome: CallOutcome::Done,
             status,
-            body: Bytes::copy_from_slice(&body),
+            body,
         },
         // The service answered, so the call ran; only its words are lost.
-        _ => CallRecord::bare(CallOutcome::Unknown, 504, "the service's answer was cut"),
+        Err(error) => {
+            spdlog::warn!("service-answer-cut", kv: { status, error: = error });
+            CallRecord::bare(CallOutcome::Unknown, 504, "the service's answer was cut")
+        }
     }
 }
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -156,9 +156,7 @@
             config_service: self.settings.config_service,
             vm_list: self.settings.vm_list,
         };
-        if let Err(error) = watch_feeds(addresses, self.control.clone(), self.clock).await {
-            spdlog::error!("feeds-watch-failed", kv: { error: = error });
-        }
+        watch_feeds(addresses, self.control.clone(), self.clock);
         let rules = Arc::new(default_rules());
         let scheduler = RequestScheduler::new(own.key(), Arc::clone(&rules));
         let ledger = TicketLedger::new(own.key(), incarnation, rand::random());
--- a/src/upstream/answer_relay.rs
+++ b/src/upstream/answer_relay.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ntex::client::Client;
 use tokio::sync::mpsc::Sender;
 use tokio::sync::{Notify, oneshot};
 
 use crate::board::ConfigSection;
+use crate::client::HttpClient;
 use crate::control::{ControlEvent, ControlHandle, WorkOffer, WorkVerdict};
 use crate::error::RouterError;
 use crate::ids::EngineKey;
@@ -39,7 +39,7 @@
 #[derive(Clone)]
 pub struct RelayContext {
     /// The client towards engines.
-    pub client: Client,
+    pub client: HttpClient,
     /// The control thread.
     pub control: ControlHandle,
     /// The clock of this process.
--- a/src/upstream/engine_call.rs
+++ b/src/upstream/engine_call.rs
@@ -6,11 +6,13 @@
 use bytes::Bytes;
 use eventsource_stream::{Event, EventStream, Eventsource};
 use futures_util::StreamExt;
-use ntex::client::{Client, ClientResponse};
+use http_body_util::BodyDataStream;
+use hyper::body::Incoming;
 use serde::Deserialize;
 
-use crate::client::proves_unsent;
+use crate::client::{HttpCall, HttpClient};
 use crate::error::{RouterError, StepName};
+use crate::forward::upstream_link::UpstreamLink;
 use crate::ids::RequestId;
 use crate::rules::WorkRank;
 
@@ -73,46 +75,40 @@
 
 /// An open stream of events.
 pub struct EngineStream {
-    events: EventStream<ClientResponse>,
+    events: EventStream<BodyDataStream<Incoming>>,
     peer: SocketAddr,
+    /// Carries the events; closed with the stream.
+    _link: UpstreamLink,
 }
 
 impl EngineStream {
     /// Opens a stream that starts with the event numbered `resume_from`.
     pub async fn open(
-        client: &Client,
+        client: &HttpClient,
         address: SocketAddr,
         request: &EngineRequest,
         resume_from: u64,
         limit: Duration,
     ) -> Result<Self, OpenFault> {
-        let call = client
-            .post(format!("http://{address}/v1/chat/completions"))
-            .force_close()
-            .content_type("application/json")
+        let call = HttpCall::post(address, "/v1/chat/completions")
             .header(HEADER_REQUEST, request.request.as_str())
-            .header(HEADER_RESUME, resume_from.to_string())
-            .header(HEADER_PRIORITY, request.rank.engine_priority().to_string())
-            .send_body(ntex::util::Bytes::copy_from_slice(&request.body));
-        let answered = tokio::time::timeout(limit, call).await;
-        let Ok(answered) = answered else {
-            let error = RouterError::step_text(StepName::FirstEvent, address, "took too long");
-            return Err(OpenFault::Unknown(error));
-        };
-        let response = answered.map_err(|error| {
-            let unsent = proves_unsent(&error);
-            let text = error.to_string();
-            if unsent {
-                OpenFault::NotRun(RouterError::step_text(StepName::Connect, address, &text))
+            .header(HEADER_RESUME, &resume_from.to_string())
+            .header(HEADER_PRIORITY, &request.rank.engine_priority().to_string())
+            .json_text(request.body.clone());
+        let answer = client.send_within(call, limit).await.map_err(|fault| {
+            if fault.not_run() {
+                OpenFault::NotRun(RouterError::step(StepName::Connect, address, fault))
             } else {
-                OpenFault::Unknown(RouterError::step_text(StepName::Send, address, &text))
+                OpenFault::Unknown(RouterError::step(StepName::FirstEvent, address, fault))
             }
         })?;
-        let status = response.status();
+        let status = answer.status();
         if status.is_success() {
+            let (events, link) = answer.into_stream();
             return Ok(Self {
-                events: response.eventsource(),
+                events: events.eventsource(),
                 peer: address,
+                _link: link,
             });
         }
         let error = RouterError::step_text(StepName::FirstEvent, address, status.as_str());
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -7,7 +7,7 @@
 
 use anyhow::{Context, bail};
 use hawthornrouter::bundle::{ConfigBundle, MANIFEST_KEY};
-use hawthornrouter::client::build_client;
+use hawthornrouter::client::{CONNECT_LIMIT, ClientLimits, HttpAnswer, HttpCall, HttpClient};
 use hawthornrouter::ids::RevisionNumber;
 use hawthornrouter::locator::{EntryAnswer, serve_locator};
 use hawthornrouter::register::{
@@ -18,7 +18,6 @@
 use hawthornrouter::rules::default_rules;
 use hawthornrouter::settings::{LocatorSettings, LocatorTarget, PeerSeed, RouterSettings};
 use hawthornrouter::units::TimeSpan;
-use ntex::client::{Client, ClientResponse};
 use ntex::rt::{DefaultRuntime, System};
 use ntex::server::Server;
 use serde::Deserialize;
@@ -115,7 +114,7 @@
         }
         let settings = self.locator_settings();
         spawn("locator", async move || {
-            serve_locator(settings).await?.await?;
+            serve_locator(settings)?.await?;
             Ok(())
         })
     }
@@ -187,7 +186,11 @@
     }
 
     async fn serve(&self) -> anyhow::Result<()> {
-        let client = build_client(CALL_LIMIT, ANSWER_BYTES).await?;
+        let client = HttpClient::new(ClientLimits {
+            connect: CONNECT_LIMIT,
+            answer: CALL_LIMIT,
+            body_bytes: ANSWER_BYTES,
+        });
         self.publish(&client).await?;
         let entry = self.locate(&client).await?;
         println!(
@@ -202,7 +205,7 @@
         self.order(&client).await
     }
 
-    async fn publish(&self, client: &Client) -> anyhow::Result<()> {
+    async fn publish(&self, client: &HttpClient) -> anyhow::Result<()> {
         let packed = self.bundle()?.pack();
         let mut values = HashMap::new();
         for (digest, part) in &packed.parts {
@@ -212,9 +215,9 @@
             MANIFEST_KEY.to_owned(),
             serde_json::to_string(&packed.manifest)?,
         );
-        let url = format!("http://{}/control/publish", self.config);
+        let call = HttpCall::post(self.config, "/control/publish").json(&values)?;
         for _ in 0..READY_ATTEMPTS {
-            if client.post(&url).send_json(&values).await.is_ok() {
+            if client.send(call.clone()).await.is_ok() {
                 return Ok(());
             }
             tokio::time::sleep(ATTEMPT_PAUSE).await;
@@ -222,62 +225,46 @@
         bail!("the configuration service did not start")
     }
 
-    async fn locate(&self, client: &Client) -> anyhow::Result<EntryAnswer> {
-        let url = format!("http://{}/v1/entry?chat=chat-1", self.locator);
+    async fn locate(&self, client: &HttpClient) -> anyhow::Result<EntryAnswer> {
+        let call = HttpCall::get(self.locator, "/v1/entry?chat=chat-1");
         for _ in 0..READY_ATTEMPTS {
-            if let Ok(response) = client.get(&url).send().await
-                && response.status().is_success()
+            if let Ok(answer) = client.send(call.clone()).await
+                && answer.status().is_success()
             {
-                return Ok(serde_json::from_str(&text(response).await?)?);
+                return Ok(answer.json().await?);
             }
             tokio::time::sleep(ATTEMPT_PAUSE).await;
         }
         bail!("no entry VM became ready")
     }
 
-    async fn chat(&self, client: &Client, entry: SocketAddr) -> anyhow::Result<ClientResponse> {
-        client
-            .post(format!("http://{entry}/v1/chat/completions"))
-            .header("authorization", format!("Bearer {TOKEN}"))
+    async fn chat(&self, client: &HttpClient, entry: SocketAddr) -> anyhow::Result<HttpAnswer> {
+        let call = HttpCall::post(entry, "/v1/chat/completions")
+            .bearer(TOKEN)
             .header("x-chat-id", "chat-1")
             .header("x-rank", "quick")
-            .send_body(r#"{"model":"lang-1","max_tokens":3}"#)
-            .await
-            .map_err(|error| anyhow::anyhow!("chat: {error}"))
+            .json_text(r#"{"model":"lang-1","max_tokens":3}"#);
+        client.send(call).await.context("chat")
     }
 
     /// Sends one order through both routers; the service sees it once.
-    async fn order(&self, client: &Client) -> anyhow::Result<()> {
+    async fn order(&self, client: &HttpClient) -> anyhow::Result<()> {
         let first = self.routers[0].entry;
-        let minted = client
-            .post(format!("http://{first}/v1/services/orders/tickets"))
-            .header("authorization", format!("Bearer {TOKEN}"))
-            .send()
-            .await
-            .map_err(|error| anyhow::anyhow!("ticket: {error}"))?;
-        let ticket: TicketBody = serde_json::from_str(&text(minted).await?)?;
+        let call = HttpCall::post(first, "/v1/services/orders/tickets").bearer(TOKEN);
+        let minted = client.send(call).await.context("ticket")?;
+        let ticket: TicketBody = minted.json().await?;
         for router in &self.routers {
-            let response = client
-                .post(format!("http://{}/v1/services/orders", router.entry))
-                .header("authorization", format!("Bearer {TOKEN}"))
-                .header("x-ticket", ticket.ticket.as_str())
-                .send_body(r#"{"item":"lucky bag refill"}"#)
-                .await
-                .map_err(|error| anyhow::anyhow!("order: {error}"))?;
-            let outcome = response
-                .headers()
-                .get("x-outcome")
-                .and_then(|v| v.to_str().ok());
-            let outcome = outcome.unwrap_or("none").to_owned();
-            let body = text(response).await?;
+            let call = HttpCall::post(router.entry, "/v1/services/orders")
+                .bearer(TOKEN)
+                .header("x-ticket", &ticket.ticket)
+                .json_text(r#"{"item":"lucky bag refill"}"#);
+            let answer = client.send(call).await.context("order")?;
+            let outcome = answer.header("x-outcome").unwrap_or("none").to_owned();
+            let body = text(answer).await?;
             println!("order through {}: outcome={outcome} {body}", router.vm);
         }
-        let record = client
-            .get(format!("http://{}/record", self.service))
-            .send()
-            .await;
-        let record = record.map_err(|error| anyhow::anyhow!("record: {error}"))?;
-        let calls: Vec<String> = serde_json::from_str(&text(record).await?)?;
+        let record = client.send(HttpCall::get(self.service, "/record")).await;
+        let calls: Vec<String> = record.context("record")?.json().await?;
         println!("the service ran {} order(s)", calls.len());
         if calls.len() != 1 {
             bail!("the order ran {} times", calls.len());
@@ -286,11 +273,8 @@
     }
 }
 
-async fn text(response: ClientResponse) -> anyhow::Result<String> {
-    let body = response
-        .body()
-        .await
-        .map_err(|error| anyhow::anyhow!("body: {error}"))?;
+async fn text(answer: HttpAnswer) -> anyhow::Result<String> {
+    let body = answer.bytes().await?;
     String::from_utf8(body.to_vec()).context("body is not text")
 }
 
--- a/tests/fleet/caller.rs
+++ b/tests/fleet/caller.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ntex::client::Client;
+use hawthornrouter::client::{HttpCall, HttpClient};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -111,15 +111,15 @@
 /// A caller with its token.
 #[derive(Clone)]
 pub struct TestCaller {
-    client: Client,
+    client: HttpClient,
     token: String,
 }
 
 impl TestCaller {
-    pub fn new(client: Client, token: &str) -> Self {
+    pub fn new(client: HttpClient, token: &str) -> Self {
         Self {
             client,
-            token: format!("Bearer {token}"),
+            token: token.to_owned(),
         }
     }
 
@@ -133,22 +133,15 @@
         let body = json!({
             "model": MODEL, "max_tokens": ask.events, "fault": ask.fault, "note": ask.note,
         });
-        let response = self
-            .client
-            .post(format!("http://{entry}/v1/chat/completions"))
-            .force_close()
-            .header("authorization", self.token.as_str())
-            .header("x-chat-id", ask.chat.as_str())
-            .header("x-rank", ask.rank.as_str())
-            .send_body(body.to_string())
-            .await
-            .ok()?;
-        let status = response.status().as_u16();
-        let retry_after = response.headers().get("retry-after");
-        let retry_after = retry_after
-            .and_then(|value| value.to_str().ok())
-            .map(ToOwned::to_owned);
-        let text = response.body().await.ok()?;
+        let call = HttpCall::post(entry, "/v1/chat/completions")
+            .bearer(&self.token)
+            .header("x-chat-id", &ask.chat)
+            .header("x-rank", &ask.rank)
+            .json_text(body.to_string());
+        let answer = self.client.send(call).await.ok()?;
+        let status = answer.status().as_u16();
+        let retry_after = answer.header("retry-after").map(ToOwned::to_owned);
+        let text = answer.bytes().await.ok()?;
         Some(ChatAnswer {
             status,
             text: String::from_utf8(text.to_vec()).expect("text"),
@@ -158,17 +151,10 @@
 
     /// Gets a ticket.
     pub async fn ticket(&self, entry: SocketAddr) -> String {
-        let response = self
-            .client
-            .post(format!("http://{entry}/v1/services/{SERVICE}/tickets"))
-            .force_close()
-            .header("authorization", self.token.as_str())
-            .send()
-            .await
-            .expect("router answers");
-        let body = response.body().await.expect("body");
-        let minted: TicketBody = serde_json::from_slice(&body).expect("ticket");
-        minted.ticket
+        let call = HttpCall::post(entry, format!("/v1/services/{SERVICE}/tickets"));
+        let answer = self.client.send(call.bearer(&self.token)).await;
+        let minted = answer.expect("router answers").json::<TicketBody>().await;
+        minted.expect("ticket").ticket
     }
 
     /// Sends an order under a ticket.
@@ -185,22 +171,14 @@
         ticket: &str,
         body: &str,
     ) -> Option<OrderAnswer> {
-        let response = self
-            .client
-            .post(format!("http://{entry}/v1/services/{SERVICE}"))
-            .force_close()
-            .header("authorization", self.token.as_str())
+        let call = HttpCall::post(entry, format!("/v1/services/{SERVICE}"))
+            .bearer(&self.token)
             .header("x-ticket", ticket)
-            .send_body(body.to_owned())
-            .await
-            .ok()?;
-        let status = response.status().as_u16();
-        let outcome = response.headers().get("x-outcome");
-        let outcome = outcome
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or("none")
-            .to_owned();
-        let body = response.body().await.ok()?;
+            .json_text(body.to_owned());
+        let answer = self.client.send(call).await.ok()?;
+        let status = answer.status().as_u16();
+        let outcome = answer.header("x-outcome").unwrap_or("none").to_owned();
+        let body = answer.bytes().await.ok()?;
         Some(OrderAnswer {
             status,
             outcome,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -12,7 +12,7 @@
 
 use hawthornrouter::board::StatusSection;
 use hawthornrouter::bundle::{ConfigBundle, MANIFEST_KEY};
-use hawthornrouter::client::build_client;
+use hawthornrouter::client::{CONNECT_LIMIT, ClientLimits, HttpCall, HttpClient};
 use hawthornrouter::ids::RevisionNumber;
 use hawthornrouter::locator::EntryAnswer;
 use hawthornrouter::register::{
@@ -24,7 +24,6 @@
     AdminScope, AdminToken, LocatorSettings, LocatorTarget, PeerSeed, RouterSettings,
 };
 use hawthornrouter::units::TimeSpan;
-use ntex::client::Client;
 
 use caller::TestCaller;
 use process::{TestProcess, router_binary, standins_binary};
@@ -156,7 +155,7 @@
 pub struct TestFleet {
     pub plan: FleetPlan,
     pub dir: PathBuf,
-    pub client: Client,
+    pub client: HttpClient,
     pub config: StandinNode,
     pub list: StandinNode,
     pub service: StandinNode,
@@ -185,7 +184,11 @@
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(&plan.name);
         let _ = std::fs::remove_dir_all(&dir);
         std::fs::create_dir_all(&dir).expect("work folder");
-        let client = build_client(HANG_GUARD, 1 << 24).await.expect("client");
+        let client = HttpClient::new(ClientLimits {
+            connect: CONNECT_LIMIT,
+            answer: HANG_GUARD,
+            body_bytes: 1 << 24,
+        });
         let standin = |role: &str, name: &str| {
             let address = free_address();
             let args = [role.to_owned(), "--listen".to_owned(), address.to_string()];
@@ -345,19 +348,16 @@
     }
 
     async fn wait_standins(&self) {
-        let mut urls = vec![
-            format!("http://{}/record", self.config.address),
-            format!("http://{}/v1/vms", self.list.address),
-            format!("http://{}/record", self.service.address),
+        let mut calls = vec![
+            HttpCall::get(self.config.address, "/record"),
+            HttpCall::get(self.list.address, "/v1/vms"),
+            HttpCall::get(self.service.address, "/record"),
         ];
-        urls.extend(
-            self.engines
-                .iter()
-                .map(|engine| format!("http://{}/record", engine.address)),
-        );
-        for url in urls {
+        let engines = self.engines.iter();
+        calls.extend(engines.map(|engine| HttpCall::get(engine.address, "/record")));
+        for call in calls {
             wait_for("stand-in answers", async || {
-                let answer = self.client.get(&url).send().await;
+                let answer = self.client.send(call.clone()).await;
                 answer.is_ok().then_some(())
             })
             .await;
@@ -442,14 +442,7 @@
         }
         let manifest = serde_json::to_string(&packed.manifest).expect("manifest");
         values.insert(MANIFEST_KEY.to_owned(), manifest);
-        let url = format!("http://{}/control/publish", self.config.address);
-        let response = self
-            .client
-            .post(url)
-            .send_json(&values)
-            .await
-            .expect("publish");
-        assert!(response.status().is_success());
+        self.control(self.config.address, "publish", &values).await;
     }
 
     /// A caller that authenticates as the first account.
@@ -464,14 +457,9 @@
 
     /// What a router tells operators; none when it can't be reached.
     pub async fn status(&self, index: usize) -> Option<StatusSection> {
-        let url = format!("http://{}/v1/status", self.routers[index].settings.admin);
-        let call = self
-            .client
-            .get(url)
-            .header("authorization", format!("Bearer {ADMIN_TOKEN}"));
-        let response = call.force_close().send().await.ok()?;
-        let body = response.body().await.ok()?;
-        serde_json::from_slice(&body).ok()
+        let call = HttpCall::get(self.routers[index].settings.admin, "/v1/status");
+        let answer = self.client.send(call.bearer(ADMIN_TOKEN)).await.ok()?;
+        answer.json().await.ok()
     }
 
     /// Waits until a router's status is as wanted.
@@ -505,9 +493,10 @@
 
     /// Posts to a stand-in's control page.
     pub async fn control<T: serde::Serialize>(&self, address: SocketAddr, path: &str, body: &T) {
-        let url = format!("http://{address}/control/{path}");
-        let response = self.client.post(url).force_close().send_json(body).await;
-        assert!(response.expect("control").status().is_success(), "{path}");
+        let call = HttpCall::post(address, format!("/control/{path}"));
+        let call = call.json(body).expect("json");
+        let answer = self.client.send(call).await;
+        assert!(answer.expect("control").status().is_success(), "{path}");
     }
 
     /// Waits until an engine has run something.
@@ -520,10 +509,9 @@
 
     /// What the locator answers for a chat; none when it names nobody.
     pub async fn locate(&self, chat: &str) -> Option<EntryAnswer> {
-        let url = format!("http://{}/v1/entry?chat={chat}", self.locator.address);
-        let response = self.client.get(&url).force_close().send().await.ok()?;
-        let body = response.body().await.ok()?;
-        serde_json::from_slice(&body).ok()
+        let call = HttpCall::get(self.locator.address, format!("/v1/entry?chat={chat}"));
+        let answer = self.client.send(call).await.ok()?;
+        answer.json().await.ok()
     }
 
     /// Waits until the locator names one of both routers for a chat, and gives that router.
@@ -540,14 +528,12 @@
 
     /// Calls that reached the service.
     pub async fn service_record(&self) -> Vec<String> {
-        let url = format!("http://{}/record", self.service.address);
-        self.read_json(&url).await
+        self.read_record(self.service.address).await
     }
 
     /// Connections of requests that an engine ran.
     pub async fn engine_record(&self, index: usize) -> Vec<EngineRun> {
-        let url = format!("http://{}/record", self.engines[index].address);
-        self.read_json(&url).await
+        self.read_record(self.engines[index].address).await
     }
 
     /// Connections of requests that all engines ran.
@@ -561,16 +547,9 @@
         all
     }
 
-    async fn read_json<T: serde::de::DeserializeOwned>(&self, url: &str) -> T {
-        let response = self
-            .client
-            .get(url)
-            .force_close()
-            .send()
-            .await
-            .expect("read");
-        let body = response.body().await.expect("body");
-        serde_json::from_slice(&body).expect("json")
+    async fn read_record<T: serde::de::DeserializeOwned>(&self, address: SocketAddr) -> T {
+        let answer = self.client.send(HttpCall::get(address, "/record")).await;
+        answer.expect("record").json().await.expect("json")
     }
 }
 
--- a/tests/home_locator.rs
+++ b/tests/home_locator.rs
@@ -5,6 +5,7 @@
 use fleet::caller::ChatAsk;
 use fleet::{ADMIN_TOKEN, FleetPlan, MODEL, TestFleet, wait_for};
 use hawthornrouter::admin::ExplainBody;
+use hawthornrouter::client::HttpCall;
 use hawthornrouter::locator::EntryAnswer;
 
 #[ntex::test]
@@ -13,25 +14,16 @@
     for number in 0..8 {
         let chat = format!("chat-{number}");
         let admin = fleet.routers[0].settings.admin;
-        let url = format!("http://{admin}/v1/explain?model={MODEL}&chat={chat}");
-        let call = fleet.client.get(url).bearer_auth(ADMIN_TOKEN).force_close();
-        let body = call
-            .send()
-            .await
-            .expect("admin answers")
-            .body()
-            .await
-            .expect("body");
-        let explained: ExplainBody = serde_json::from_slice(&body).expect("routes");
+        let target = format!("/v1/explain?model={MODEL}&chat={chat}");
+        let call = HttpCall::get(admin, target).bearer(ADMIN_TOKEN);
+        let answer = fleet.client.send(call).await.expect("admin answers");
+        let explained: ExplainBody = answer.json().await.expect("routes");
         let steward = explained.routes[0].steward.clone();
-        let url = format!(
-            "http://{}/v1/entry?chat={chat}&model={MODEL}",
-            fleet.locator.address
-        );
+        let target = format!("/v1/entry?chat={chat}&model={MODEL}");
         let named = wait_for("locator names the steward", async || {
-            let response = fleet.client.get(&url).force_close().send().await.ok()?;
-            let body = response.body().await.ok()?;
-            let answer = serde_json::from_slice::<EntryAnswer>(&body).ok()?;
+            let call = HttpCall::get(fleet.locator.address, target.as_str());
+            let answer = fleet.client.send(call).await.ok()?;
+            let answer: EntryAnswer = answer.json().await.ok()?;
             (Some(&answer.vm) == steward.as_ref()).then_some(answer)
         })
         .await;
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -8,6 +8,7 @@
 use fleet::{FleetPlan, TestFleet, wait_for};
 use futures_util::future::join_all;
 use hawthornrouter::board::LifeStage;
+use hawthornrouter::client::HttpCall;
 use hawthornrouter::units::TimeSpan;
 use serde_json::json;
 
@@ -113,8 +114,11 @@
         "service-again",
     ));
     wait_for("service answers", async || {
-        let url = format!("http://{address}/record");
-        fleet.client.get(url).force_close().send().await.ok()
+        fleet
+            .client
+            .send(HttpCall::get(address, "/record"))
+            .await
+            .ok()
     })
     .await;
     for index in 0..2 {
