Spread hot prompts by the router's own sample of their calls

Change: a router counts its own calls of each prompt over three seconds, times the number of routers; a prompt with more calls than one home has room for draws among the next homes in order.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -12,4 +12,3 @@
 pub mod traffic_state;
 mod upstream_answer;
 pub mod upstream_link;
-mod upstream_track;
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -13,15 +13,16 @@
 use crate::dialect::{AnswerHead, EdgeDialect};
 use crate::fleet::upstream_entry::{ServingState, UpstreamEntry};
 use crate::forward::link_pool::LinkPool;
-use crate::forward::upstream_track::UpstreamTrack;
 use crate::forward_board::ForwardBoard;
 use crate::ids::{ServiceId, UpstreamKey};
 use crate::line_gate::LineGate;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::call_attempts::AttemptFault;
+use crate::policy::prompt_heat::PromptHeat;
 use crate::policy::prompt_map::{PromptMap, PromptRun};
 use crate::policy::retry_window::RetryWindow;
-use crate::policy::upstream_choice::{UpstreamOption, UpstreamUse, choose_upstream};
+use crate::policy::upstream_choice::{PromptHome, UpstreamOption, UpstreamUse, choose_upstream};
+use crate::policy::upstream_track::UpstreamTrack;
 use crate::route::RouteTable;
 use crate::telemetry::{RouterTelemetry, set_count};
 
@@ -44,6 +45,7 @@
     tracks: RefCell<HashMap<UpstreamKey, UpstreamTrack>>,
     retries: RefCell<HashMap<ServiceId, RetryWindow>>,
     prompts: RefCell<PromptMap>,
+    heat: RefCell<PromptHeat>,
     /// Bounds the lines of calls that went well.
     call_lines: RefCell<LineGate>,
     /// Bounds the lines of requests refused before they were calls.
@@ -59,6 +61,9 @@
     pub key: UpstreamKey,
     /// Its load when it was chosen.
     pub load: f64,
+    /// The shared part by which it was chosen.
+    prompt: Option<u64>,
+    since: MonoTime,
     state: Rc<TrafficState<D>>,
 }
 
@@ -67,6 +72,11 @@
         if let Some(track) = self.state.tracks.borrow_mut().get_mut(&self.key) {
             track.own = track.own.saturating_sub(1);
         }
+        if let Some(prompt) = self.prompt {
+            let now = self.state.now();
+            let length = now.since(self.since);
+            self.state.heat.borrow_mut().ended(prompt, length, now);
+        }
     }
 }
 
@@ -87,6 +97,7 @@
             tracks: RefCell::default(),
             retries: RefCell::default(),
             prompts: RefCell::default(),
+            heat: RefCell::default(),
             call_lines: RefCell::default(),
             refusal_lines: RefCell::default(),
             rng: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
@@ -134,7 +145,7 @@
         self: &Rc<Self>,
         table: &RouteTable,
         service: &ServiceId,
-        home: Option<u64>,
+        prompt: Option<u64>,
         tried: &[UpstreamKey],
         doubted: &[UpstreamKey],
     ) -> Option<UpstreamHold<D>> {
@@ -145,6 +156,13 @@
             .collect();
         let options = self.options(table, service, &members, tried, doubted);
         let bound = self.board.settings.load().home;
+        let now = self.now();
+        let routers = self.board.fleet_size.load(Ordering::Relaxed);
+        let heat = self.heat.borrow();
+        let home = prompt.map(|prompt| PromptHome {
+            prompt,
+            open_calls: heat.open_calls(prompt, routers, now),
+        });
         let index = choose_upstream(&options, home, bound, self.draw())?;
         let key = options[index].key;
         let mut tracks = self.tracks.borrow_mut();
@@ -153,6 +171,8 @@
             entry: Arc::clone(members[index]),
             key,
             load: options[index].load,
+            prompt,
+            since: now,
             state: Rc::clone(self),
         })
     }
@@ -349,6 +369,7 @@
             .borrow_mut()
             .retain(|&key, track| track.own > 0 || known(key));
         self.prompts.borrow_mut().forget(self.now());
+        self.heat.borrow_mut().forget(self.now());
         let mut pool = self.pool.borrow_mut();
         pool.sweep(self.now());
         set_count(&self.telemetry.idle_links, pool.len());
--- a/src/policy/upstream_choice.rs
+++ b/src/policy/upstream_choice.rs
@@ -1,9 +1,9 @@
 //! Which upstream gets a call.
 //!
 //! Calls whose prompts share parts go to the same upstream, so that its cache serves them: weighted
-//! rendezvous hashing of the largest shared part. An upstream above the load bound is passed over
-//! for the next one in the same order, so overflow of one part is as sticky as its home. Calls
-//! without shared parts go to the least loaded upstream.
+//! rendezvous hashing of the largest shared part. A part with more calls than one home has room for
+//! has several, the next in the same order; an upstream above the load bound is passed over, so
+//! overflow is as sticky as a home. Calls without shared parts go to the least loaded upstream.
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -47,11 +47,20 @@
     pub usable: UpstreamUse,
 }
 
-/// Chooses among `options`; `home` is the hash of the prompt's largest shared part, `draw` is
-/// uniform over `u64` and breaks ties.
+/// The shared part by which a call's home is found.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PromptHome {
+    /// Hash of the part.
+    pub prompt: u64,
+    /// Calls about it that all routers have open, as far as known.
+    pub open_calls: f64,
+}
+
+/// Chooses among `options`; `home` is the prompt's largest shared part, `draw` is uniform over
+/// `u64` and breaks ties.
 pub fn choose_upstream(
     options: &[UpstreamOption],
-    home: Option<u64>,
+    home: Option<PromptHome>,
     bound: HomeBound,
     draw: u64,
 ) -> Option<usize> {
@@ -68,7 +77,7 @@
         .map(usable)
         .find(|indexes| !indexes.is_empty())?;
     match home {
-        Some(home) => choose_home(options, &indexes, home, bound),
+        Some(home) => choose_home(options, &indexes, home, bound, draw),
         None => choose_least(options, &indexes, draw),
     }
 }
@@ -76,8 +85,9 @@
 fn choose_home(
     options: &[UpstreamOption],
     indexes: &[usize],
-    home: u64,
+    home: PromptHome,
     bound: HomeBound,
+    draw: u64,
 ) -> Option<usize> {
     let slots: f64 = indexes
         .iter()
@@ -89,14 +99,18 @@
         |option: &UpstreamOption| bound.multiple * fill * f64::from(option.slots) + bound.slack;
     let mut ranked: Vec<(f64, usize)> = indexes
         .iter()
-        .map(|&index| (rendezvous_score(&options[index], home), index))
+        .map(|&index| (rendezvous_score(&options[index], home.prompt), index))
         .collect();
     ranked.sort_by(|left, right| right.0.total_cmp(&left.0));
-    ranked
-        .iter()
-        .map(|&(_, index)| index)
-        .find(|&index| options[index].load <= most(&options[index]))
-        .or_else(|| ranked.first().map(|&(_, index)| index))
+    let first = ranked.first().map(|&(_, index)| index)?;
+    // Beside the mean load, each home has room for so many calls about a prompt.
+    let room = most(&options[first]) - fill * f64::from(options[first].slots);
+    let homes = 1 + (home.open_calls / room.max(1.0)) as usize;
+    let within = |index: &usize| options[*index].load <= most(&options[*index]);
+    let ranked = ranked.into_iter().map(|(_, index)| index);
+    let open: Vec<usize> = ranked.filter(within).take(homes).collect();
+    let drawn = draw as usize % open.len().max(1);
+    open.get(drawn).copied().or(Some(first))
 }
 
 /// Weighted rendezvous hashing: the highest score is the home, and each upstream is home in
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -2,7 +2,7 @@
 
 use hawthornrouter::ids::UpstreamKey;
 use hawthornrouter::policy::upstream_choice::{
-    HomeBound, UpstreamOption, UpstreamUse, choose_upstream,
+    HomeBound, PromptHome, UpstreamOption, UpstreamUse, choose_upstream,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -24,7 +24,11 @@
 }
 
 fn home(options: &[UpstreamOption], prompt: u64) -> usize {
-    choose_upstream(options, Some(prompt), BOUND, 0).expect("one is open")
+    let home = PromptHome {
+        prompt,
+        open_calls: 0.0,
+    };
+    choose_upstream(options, Some(home), BOUND, 0).expect("one is open")
 }
 
 #[test]
