Copy shared parts from the other home of a prompt where no source is known

Cause: with 27 routers each knows only the prompts that it sent itself, so that a call that goes past its full home, or to an engine that took the place of a leaving one, found no source and read ten thousand tokens anew.

Change: where this router knows no source, the next engine in the prompt's order is named, also one that is leaving. A source that has nothing more costs one question between two engines.

--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -21,7 +21,9 @@
 use crate::policy::prompt_heat::PromptHeat;
 use crate::policy::prompt_map::{PromptMap, PromptRun};
 use crate::policy::retry_window::RetryWindow;
-use crate::policy::upstream_choice::{PromptHome, UpstreamOption, UpstreamUse, choose_upstream};
+use crate::policy::upstream_choice::{
+    PromptHome, UpstreamOption, UpstreamUse, choose_upstream, other_home,
+};
 use crate::policy::upstream_track::UpstreamTrack;
 use crate::route::RouteTable;
 use crate::telemetry::{RouterTelemetry, set_count};
@@ -63,6 +65,8 @@
     pub load: f64,
     /// The shared part by which it was chosen.
     prompt: Option<u64>,
+    /// Who else may have read it.
+    other_home: Option<SocketAddr>,
     since: MonoTime,
     state: Rc<TrafficState<D>>,
 }
@@ -172,6 +176,9 @@
             key,
             load: options[index].load,
             prompt,
+            other_home: prompt
+                .and_then(|prompt| other_home(&options, prompt, index))
+                .map(|other| members[other].address),
             since: now,
             state: Rc::clone(self),
         })
@@ -254,8 +261,9 @@
                 .is_some_and(|track| track.health.resting(now));
             !resting && entry_of(key).is_some()
         };
-        let source = self.prompts.borrow().source(runs, hold.key, now, usable)?;
-        entry_of(source).map(|entry| entry.address)
+        let source = self.prompts.borrow().source(runs, hold.key, now, usable);
+        let known = source.and_then(entry_of).map(|entry| entry.address);
+        known.or(hold.other_home)
     }
 
     /// A prompt goes to an upstream.
--- a/src/policy/upstream_choice.rs
+++ b/src/policy/upstream_choice.rs
@@ -113,6 +113,18 @@
     open.get(drawn).copied().or(Some(first))
 }
 
+/// The home of a prompt but for the upstream that was chosen: it most likely has read the prompt's
+/// shared parts, be it that the chosen one is its overflow, or took its place.
+pub fn other_home(options: &[UpstreamOption], prompt: u64, chosen: usize) -> Option<usize> {
+    let others = options.iter().enumerate().filter(|&(index, option)| {
+        index != chosen && matches!(option.usable, UpstreamUse::Open | UpstreamUse::Closed)
+    });
+    others
+        .map(|(index, option)| (rendezvous_score(option, prompt), index))
+        .max_by(|left, right| left.0.total_cmp(&right.0))
+        .map(|(_, index)| index)
+}
+
 /// Weighted rendezvous hashing: the highest score is the home, and each upstream is home in
 /// proportion to its slots.
 fn rendezvous_score(option: &UpstreamOption, home: u64) -> f64 {
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -23,12 +23,15 @@
         .collect()
 }
 
-fn home(options: &[UpstreamOption], prompt: u64) -> usize {
-    let home = PromptHome {
+fn cold(prompt: u64) -> PromptHome {
+    PromptHome {
         prompt,
         open_calls: 0.0,
-    };
-    choose_upstream(options, Some(home), BOUND, 0).expect("one is open")
+    }
+}
+
+fn home(options: &[UpstreamOption], prompt: u64) -> usize {
+    choose_upstream(options, Some(cold(prompt)), BOUND, 0).expect("one is open")
 }
 
 #[test]
@@ -85,7 +88,7 @@
     for engine in &mut engines {
         engine.usable = UpstreamUse::Closed;
     }
-    assert_eq!(choose_upstream(&engines, Some(3), BOUND, 0), None);
+    assert_eq!(choose_upstream(&engines, Some(cold(3)), BOUND, 0), None);
     assert_eq!(choose_upstream(&engines, None, BOUND, 0), None);
 }
 
