Name the other home of a prompt as its source; pass on the loads of the busiest upstreams

The source is now always the first other engine in the prompt's order, which every router agrees on; the memory (prompt_map) and its tests go, what they guarded (no copy of small parts, none from an upstream at rest) is tested with the choice. A router waits 450 ms, not 150, after changes before it asks the store again.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -12,7 +12,6 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::{AccountId, UpstreamId};
-use crate::policy::prompt_map::PromptRun;
 use crate::route::PriorityRank;
 
 /// A part of a prompt.
@@ -24,6 +23,15 @@
     pub tokens: u32,
 }
 
+/// Parts from the start of a prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PromptRun {
+    /// Hash of all the parts.
+    pub hash: u64,
+    /// Their length in tokens.
+    pub tokens: u32,
+}
+
 /// The head of a caller's request.
 #[derive(Clone, Debug)]
 pub struct CallHead {
@@ -54,24 +62,20 @@
         self.target.split('?').next().unwrap_or_default()
     }
 
-    /// The runs of parts that other requests share, from the shortest to the longest. The last
-    /// part belongs to the request or its chat, unless it is the only one.
-    pub fn shared_runs(&self) -> Vec<PromptRun> {
+    /// The parts that other requests share. The last part belongs to the request or its chat, unless
+    /// it is the only one.
+    pub fn shared_run(&self) -> Option<PromptRun> {
         let shared = match self.prompt.len() {
-            0 => 0,
-            1 => 1,
+            0 | 1 => self.prompt.len(),
             count => count - 1,
         };
         let start = PromptRun { hash: 0, tokens: 0 };
-        self.prompt[..shared]
-            .iter()
-            .scan(start, |run, part| {
-                let hash = xxh3_64_with_seed(&part.hash.to_le_bytes(), run.hash);
-                let tokens = run.tokens.saturating_add(part.tokens);
-                *run = PromptRun { hash, tokens };
-                Some(*run)
-            })
-            .collect()
+        let run = self.prompt[..shared].iter().fold(start, |run, part| {
+            let hash = xxh3_64_with_seed(&part.hash.to_le_bytes(), run.hash);
+            let tokens = run.tokens.saturating_add(part.tokens);
+            PromptRun { hash, tokens }
+        });
+        (shared > 0).then_some(run)
     }
 }
 
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -9,7 +9,7 @@
 use http::header::CONTENT_ENCODING;
 use http_body_util::{BodyExt, Full};
 
-use crate::dialect::{EdgeDialect, UpstreamOrder};
+use crate::dialect::{EdgeDialect, PromptRun, UpstreamOrder};
 use crate::forward::call_wait::CallWait;
 use crate::forward::choice_note::ChoiceNote;
 use crate::forward::event_reader::EventReader;
@@ -23,7 +23,7 @@
 use crate::mono::MonoTime;
 use crate::policy::answer_judge::{AnswerSight, judge_answer};
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
-use crate::policy::prompt_map::PromptRun;
+
 use crate::route::PriorityRank;
 
 /// Longest wait for a connection: a VM that is up answers within a round trip and its own queue.
@@ -43,7 +43,7 @@
     /// Upstreams that failed the call, and get it again only when no other is left.
     doubted: Vec<UpstreamKey>,
     /// Shared parts of the prompt, where upstreams cache them.
-    runs: Vec<PromptRun>,
+    prompt: Option<PromptRun>,
     reader: EventReader,
     first_event: Option<MonoTime>,
     /// The latest choice of an upstream, for the log.
@@ -56,13 +56,9 @@
     pub fn new(state: Rc<TrafficState<D>>, plan: CallPlan) -> Self {
         let service = plan.route.pick_service(state.draw()).clone();
         state.count_call(&service);
-        let runs = if plan.route.cached_prompts {
-            plan.head.shared_runs()
-        } else {
-            Vec::new()
-        };
+        let prompt = plan.head.shared_run().filter(|_| plan.route.cached_prompts);
         Self {
-            runs,
+            prompt,
             attempts: CallAttempts::new(plan.route.kind, plan.route.max_attempts),
             reader: EventReader::new(plan.head.resume_after),
             service,
@@ -202,11 +198,10 @@
     }
 
     fn pick(&self) -> Option<UpstreamHold<D>> {
-        let home = self.runs.last().map(|run| run.hash);
         self.state.pick(
             &self.plan.table,
             &self.service,
-            home,
+            self.prompt,
             &self.tried,
             &self.doubted,
         )
@@ -244,7 +239,6 @@
             self.state.count_repeat(&self.service);
         }
         let request = self.request(&hold)?;
-        self.state.prompt_sent(&self.runs, hold.key);
         let sent = self.state.now();
         let wait = CallWait::first(&self.plan.route);
         let body_bytes = self.plan.body.len();
@@ -339,8 +333,7 @@
     }
 
     fn request(&mut self, hold: &UpstreamHold<D>) -> Result<Request<Full<Bytes>>, AttemptFault> {
-        let source = self.state.cache_source(&self.plan.table, &self.runs, hold);
-        self.note(|choice| choice.source = source);
+        self.note(|choice| choice.source = hold.cache_source);
         let head = &self.plan.head;
         let rank = self.rank();
         let order = UpstreamOrder {
@@ -349,7 +342,7 @@
             time_left: self.plan.ends.since(self.state.now()),
             rank,
             resume_after: self.reader.last(),
-            cache_source: source,
+            cache_source: hold.cache_source,
         };
         let request = Request::builder()
             .method(head.method.clone())
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::dialect::{AnswerHead, EdgeDialect};
+use crate::dialect::{AnswerHead, EdgeDialect, PromptRun};
 use crate::fleet::upstream_entry::{ServingState, UpstreamEntry};
 use crate::forward::link_pool::LinkPool;
 use crate::forward_board::ForwardBoard;
@@ -18,8 +18,8 @@
 use crate::line_gate::LineGate;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::call_attempts::AttemptFault;
+use crate::policy::load_news::LoadWord;
 use crate::policy::prompt_heat::PromptHeat;
-use crate::policy::prompt_map::{PromptMap, PromptRun};
 use crate::policy::retry_window::RetryWindow;
 use crate::policy::upstream_choice::{
     PromptHome, UpstreamOption, UpstreamUse, choose_upstream, other_home,
@@ -32,6 +32,9 @@
 /// than any engine reads them.
 const MIN_COPIED_TOKENS_PER_MS: f64 = 250.0;
 
+/// Fewest shared tokens that are worth a copy: reading this many takes about as long as asking.
+const MIN_COPIED_TOKENS: u32 = 100;
+
 /// State of the traffic thread.
 pub struct TrafficState<D> {
     /// The words on the wire.
@@ -46,7 +49,6 @@
     pub pool: RefCell<LinkPool>,
     tracks: RefCell<HashMap<UpstreamKey, UpstreamTrack>>,
     retries: RefCell<HashMap<ServiceId, RetryWindow>>,
-    prompts: RefCell<PromptMap>,
     heat: RefCell<PromptHeat>,
     /// Bounds the lines of calls that went well.
     call_lines: RefCell<LineGate>,
@@ -65,8 +67,8 @@
     pub load: f64,
     /// The shared part by which it was chosen.
     prompt: Option<u64>,
-    /// Who else may have read it.
-    other_home: Option<SocketAddr>,
+    /// From where it can copy that part.
+    pub cache_source: Option<SocketAddr>,
     since: MonoTime,
     state: Rc<TrafficState<D>>,
 }
@@ -84,6 +86,14 @@
     }
 }
 
+/// Whether copying parts of prompts between upstreams of a service is quicker than reading them.
+fn copies_fast(table: &RouteTable, service: &ServiceId) -> bool {
+    let speed = table
+        .service(service)
+        .map_or(0.0, |rule| rule.copied_tokens_per_ms);
+    speed >= MIN_COPIED_TOKENS_PER_MS
+}
+
 impl<D: EdgeDialect> TrafficState<D> {
     /// State without memory of any upstream.
     pub fn new(
@@ -100,7 +110,6 @@
             pool: RefCell::default(),
             tracks: RefCell::default(),
             retries: RefCell::default(),
-            prompts: RefCell::default(),
             heat: RefCell::default(),
             call_lines: RefCell::default(),
             refusal_lines: RefCell::default(),
@@ -149,7 +158,7 @@
         self: &Rc<Self>,
         table: &RouteTable,
         service: &ServiceId,
-        prompt: Option<u64>,
+        prompt: Option<PromptRun>,
         tried: &[UpstreamKey],
         doubted: &[UpstreamKey],
     ) -> Option<UpstreamHold<D>> {
@@ -158,32 +167,46 @@
             .iter()
             .filter(|entry| entry.service == *service)
             .collect();
+        self.take_news(&members);
         let options = self.options(table, service, &members, tried, doubted);
         let bound = self.board.settings.load().home;
         let now = self.now();
         let routers = self.board.fleet_size.load(Ordering::Relaxed);
         let heat = self.heat.borrow();
-        let home = prompt.map(|prompt| PromptHome {
-            prompt,
-            open_calls: heat.open_calls(prompt, routers, now),
+        let home = prompt.map(|run| PromptHome {
+            prompt: run.hash,
+            open_calls: heat.open_calls(run.hash, routers, now),
         });
         let index = choose_upstream(&options, home, bound, self.draw())?;
         let key = options[index].key;
+        let source = prompt
+            .filter(|run| run.tokens >= MIN_COPIED_TOKENS && copies_fast(table, service))
+            .and_then(|run| other_home(&options, run.hash, index));
         let mut tracks = self.tracks.borrow_mut();
         tracks.entry(key).or_default().own += 1;
         Some(UpstreamHold {
             entry: Arc::clone(members[index]),
             key,
             load: options[index].load,
-            prompt,
-            other_home: prompt
-                .and_then(|prompt| other_home(&options, prompt, index))
-                .map(|other| members[other].address),
+            prompt: prompt.map(|run| run.hash),
+            cache_source: source.map(|source| members[source].address),
             since: now,
             state: Rc::clone(self),
         })
     }
 
+    /// Takes what other routers reported of upstreams.
+    fn take_news(&self, members: &[&Arc<UpstreamEntry>]) {
+        let news = self.board.news();
+        let mut tracks = self.tracks.borrow_mut();
+        for entry in members {
+            let key = entry.id.key();
+            if let Some(word) = news.latest(key) {
+                tracks.entry(key).or_default().reported(word.load, word.at);
+            }
+        }
+    }
+
     fn options(
         &self,
         table: &RouteTable,
@@ -229,49 +252,12 @@
                     load: track.load(routers, now),
                     near: entry.data_center == settings.data_center,
                     usable,
+                    readable: !track.health.resting(now),
                 }
             })
             .collect()
     }
 
-    /// Where the chosen upstream can copy the shared parts of a prompt that it lacks.
-    pub fn cache_source(
-        &self,
-        table: &RouteTable,
-        runs: &[PromptRun],
-        hold: &UpstreamHold<D>,
-    ) -> Option<SocketAddr> {
-        let copied = table
-            .service(&hold.entry.service)
-            .map_or(0.0, |rule| rule.copied_tokens_per_ms);
-        if copied < MIN_COPIED_TOKENS_PER_MS {
-            return None;
-        }
-        let now = self.now();
-        let upstreams = self.board.upstreams.load();
-        let tracks = self.tracks.borrow();
-        let entry_of = |key: UpstreamKey| {
-            upstreams
-                .iter()
-                .find(|entry| entry.id.key() == key && entry.service == hold.entry.service)
-        };
-        let usable = |key: UpstreamKey| {
-            let resting = tracks
-                .get(&key)
-                .is_some_and(|track| track.health.resting(now));
-            !resting && entry_of(key).is_some()
-        };
-        let source = self.prompts.borrow().source(runs, hold.key, now, usable);
-        let known = source.and_then(entry_of).map(|entry| entry.address);
-        known.or(hold.other_home)
-    }
-
-    /// A prompt goes to an upstream.
-    pub fn prompt_sent(&self, runs: &[PromptRun], upstream: UpstreamKey) {
-        let now = self.now();
-        self.prompts.borrow_mut().sent(runs, upstream, now);
-    }
-
     /// Whether an upstream lately said that calls wait there.
     pub fn is_queued(&self, upstream: UpstreamKey) -> bool {
         let now = self.now();
@@ -304,6 +290,11 @@
         track.health.heard(now);
         if let Some(load) = head.load {
             track.reported(load, now);
+            self.board.news().note(LoadWord {
+                upstream: upstream.into(),
+                load,
+                at: now,
+            });
         }
     }
 
@@ -330,9 +321,6 @@
             _ => health.failed(now),
         }
         drop(tracks);
-        if fault == AttemptFault::Unreachable {
-            self.prompts.borrow_mut().lost(upstream);
-        }
         if matches!(fault, AttemptFault::Unreachable | AttemptFault::Silent) {
             self.pool.borrow_mut().close(upstream);
         }
@@ -376,7 +364,6 @@
         self.tracks
             .borrow_mut()
             .retain(|&key, track| track.own > 0 || known(key));
-        self.prompts.borrow_mut().forget(self.now());
         self.heat.borrow_mut().forget(self.now());
         let mut pool = self.pool.borrow_mut();
         pool.sweep(self.now());
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -1,13 +1,14 @@
 //! What the control thread tells the traffic thread of a forwarding router.
 
 use std::net::Ipv4Addr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 
 use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::forward_settings::ForwardSettings;
+use crate::policy::load_news::LoadNews;
 use crate::route::RouteTable;
 
 /// How far a router is in its life.
@@ -55,6 +56,7 @@
     pub store_heard_ms: AtomicU64,
     /// Calls in progress; written by the traffic thread.
     pub calls: AtomicUsize,
+    news: Mutex<LoadNews>,
     stage: AtomicU8,
 }
 
@@ -69,10 +71,16 @@
             fleet_size: AtomicUsize::new(1),
             store_heard_ms: AtomicU64::new(0),
             calls: AtomicUsize::new(0),
+            news: Mutex::default(),
             stage: AtomicU8::new(ForwardStage::Booting as u8),
         }
     }
 
+    /// Loads of upstreams; both threads hold it only for a moment.
+    pub fn news(&self) -> MutexGuard<'_, LoadNews> {
+        self.news.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// How far the router is in its life.
     pub fn stage(&self) -> ForwardStage {
         ForwardStage::ALL[usize::from(self.stage.load(Ordering::Relaxed))]
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -17,7 +17,7 @@
 use crate::forward_control::store_task::StoreWord;
 use crate::forward_settings::ForwardSettings;
 use crate::gossip::frames::{
-    DocumentAsk, DocumentFrame, DocumentGive, HeartbeatFrame, MemberFrame,
+    DocumentAsk, DocumentFrame, DocumentGive, HeartbeatFrame, LoadColumns, MemberColumns,
 };
 use crate::mono::{MonoTime, ProcessClock};
 use crate::route::ConfigVersion;
@@ -43,9 +43,6 @@
 /// Ticks between two looks at the settings file.
 const SETTINGS_TICKS: u64 = 8;
 
-/// Largest datagram: below what any link carries whole.
-const DATAGRAM_BYTES: usize = 1400;
-
 /// What the control thread shares with the traffic thread.
 pub struct ControlParts {
     /// The board.
@@ -130,19 +127,18 @@
     /// The heartbeat of this moment.
     pub fn frame(&self) -> Vec<u8> {
         let now = self.now();
-        let records = self.members.frame_records(now, &mut rand::rng());
-        let mut frame = HeartbeatFrame {
-            sender: Some(MemberFrame::new(&self.members.own(), Duration::ZERO)),
-            members: records
-                .iter()
-                .map(|(record, age)| MemberFrame::new(record, *age))
-                .collect(),
+        let mut members = MemberColumns::default();
+        members.push(&self.members.own(), Duration::ZERO);
+        for (record, age) in self.members.frame_records(now, &mut rand::rng()) {
+            members.push(&record, age);
+        }
+        let words = self.board.news().busiest(now);
+        let frame = HeartbeatFrame {
+            members: Some(members),
             config_version: self.belief.config_version().0,
             store_revision: self.belief.revision().0,
+            loads: Some(LoadColumns::new(&words, now)),
         };
-        while frame.encoded_len() > DATAGRAM_BYTES {
-            frame.members.pop();
-        }
         frame.encode_to_vec()
     }
 
@@ -153,15 +149,19 @@
             spdlog::info!("heartbeat-unreadable", kv: { bytes: = bytes.len() });
             return false;
         };
-        let sender = frame.sender.as_ref().and_then(MemberFrame::record);
-        let Some((sender, _)) = sender else {
+        let mut records = frame.members.iter().flat_map(MemberColumns::records);
+        let Some((sender, _)) = records.next() else {
             return false;
         };
         let new = !self.members.is_live(sender.address, now);
         let mut changed = self.members.heard(sender, now);
-        for (record, age) in frame.members.iter().filter_map(MemberFrame::record) {
+        for (record, age) in records {
             changed |= self.members.passed_on(record, age, now);
         }
+        if let Some(loads) = &frame.loads {
+            let mut news = self.board.news();
+            loads.words(now).for_each(|word| news.note(word));
+        }
         if changed {
             spdlog::info!("member-changed", kv: {
                 member: = sender.address, stage:? = sender.stage, new: = new
--- a/src/forward_control/store_task.rs
+++ b/src/forward_control/store_task.rs
@@ -16,8 +16,9 @@
 /// return.
 const LAST_BACKOFF: Duration = Duration::from_millis(600);
 
-/// Pause after changes, so that a burst costs a few calls.
-const NEWS_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after changes, so that a burst costs few calls: with the answer of a slow store, a quarter
+/// of a second, still well below the two seconds within which a change must be in force.
+const NEWS_PAUSE: Duration = Duration::from_millis(450);
 
 /// Pause before everything is read anew, so that a store that keeps losing its history is not
 /// asked without end.
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -6,74 +6,126 @@
 use bytes::Bytes;
 use prost::Message;
 
+use crate::dialect::LoadReport;
 use crate::fleet::member_table::{MemberRecord, MemberStage};
 use crate::fleet::store_belief::{StoreChange, StoreItem, StoreRevision};
 use crate::ids::IncarnationId;
+use crate::mono::MonoTime;
+use crate::policy::load_news::{LoadWord, UpstreamTag};
 
-/// A member, as a heartbeat tells it.
+/// Members, as a heartbeat tells them: one place in each column a member.
 #[derive(Clone, PartialEq, Message)]
-pub struct MemberFrame {
-    /// IPv4 address.
-    #[prost(fixed32, tag = "1")]
-    pub address: u32,
-    /// Run of the process.
-    #[prost(fixed64, tag = "2")]
-    pub incarnation: u64,
-    /// 1 booting, 2 serving, 3 leaving.
-    #[prost(uint32, tag = "3")]
-    pub stage: u32,
-    /// Milliseconds since the sender heard of it.
-    #[prost(uint32, tag = "4")]
-    pub age_ms: u32,
+pub struct MemberColumns {
+    /// IPv4 addresses.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub addresses: Vec<u32>,
+    /// Runs of the processes.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub incarnations: Vec<u64>,
+    /// 1 booting, 2 serving, 3 leaving; and four times the milliseconds since the sender heard of
+    /// the member.
+    #[prost(uint32, repeated, tag = "3")]
+    pub states: Vec<u32>,
+}
+
+impl MemberColumns {
+    /// Adds a record that was heard `age` ago.
+    pub fn push(&mut self, record: &MemberRecord, age: Duration) {
+        let stage = match record.stage {
+            MemberStage::Booting => 1,
+            MemberStage::Serving => 2,
+            MemberStage::Leaving => 3,
+        };
+        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        self.addresses.push(record.address.to_bits());
+        self.incarnations.push(record.incarnation.0);
+        self.states.push(age_ms.min(u32::MAX >> 2) << 2 | stage);
+    }
+
+    /// The records and their ages, without those of unknown stage.
+    pub fn records(&self) -> impl Iterator<Item = (MemberRecord, Duration)> {
+        let columns = self.addresses.iter().zip(&self.incarnations);
+        columns
+            .zip(&self.states)
+            .filter_map(|((&address, &incarnation), &state)| {
+                let stage = match state & 3 {
+                    1 => MemberStage::Booting,
+                    2 => MemberStage::Serving,
+                    3 => MemberStage::Leaving,
+                    _ => return None,
+                };
+                let record = MemberRecord {
+                    address: Ipv4Addr::from_bits(address),
+                    incarnation: IncarnationId(incarnation),
+                    stage,
+                };
+                Some((record, Duration::from_millis((state >> 2).into())))
+            })
+    }
+}
+
+/// Unit of the ages of loads, in milliseconds: one byte holds the ages that are passed on.
+const LOAD_AGE_MS: u64 = 10;
+
+/// Loads of upstreams, as a heartbeat tells them: one place in each column an upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadColumns {
+    /// Tags of the upstreams.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub tags: Vec<u32>,
+    /// Calls that run.
+    #[prost(uint32, repeated, tag = "2")]
+    pub running: Vec<u32>,
+    /// Calls that wait.
+    #[prost(uint32, repeated, tag = "3")]
+    pub waiting: Vec<u32>,
+    /// Time since the upstream was at this load, in units of [`LOAD_AGE_MS`].
+    #[prost(uint32, repeated, tag = "4")]
+    pub ages: Vec<u32>,
 }
 
-impl MemberFrame {
-    /// The frame of a record that was heard `age` ago.
-    pub fn new(record: &MemberRecord, age: Duration) -> Self {
+impl LoadColumns {
+    /// The columns of `words` at `now`.
+    pub fn new(words: &[LoadWord], now: MonoTime) -> Self {
+        let age = |word: &LoadWord| {
+            let age = now.since(word.at).as_millis() / u128::from(LOAD_AGE_MS);
+            u32::try_from(age).unwrap_or(u32::MAX)
+        };
         Self {
-            address: record.address.to_bits(),
-            incarnation: record.incarnation.0,
-            stage: match record.stage {
-                MemberStage::Booting => 1,
-                MemberStage::Serving => 2,
-                MemberStage::Leaving => 3,
-            },
-            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            tags: words.iter().map(|word| word.upstream.0).collect(),
+            running: words.iter().map(|word| word.load.running).collect(),
+            waiting: words.iter().map(|word| word.load.waiting).collect(),
+            ages: words.iter().map(age).collect(),
         }
     }
 
-    /// The record and its age; none if the stage is unknown.
-    pub fn record(&self) -> Option<(MemberRecord, Duration)> {
-        let stage = match self.stage {
-            1 => MemberStage::Booting,
-            2 => MemberStage::Serving,
-            3 => MemberStage::Leaving,
-            _ => return None,
-        };
-        let record = MemberRecord {
-            address: Ipv4Addr::from_bits(self.address),
-            incarnation: IncarnationId(self.incarnation),
-            stage,
-        };
-        Some((record, Duration::from_millis(self.age_ms.into())))
+    /// The reports by the clock of which it is `now`.
+    pub fn words(&self, now: MonoTime) -> impl Iterator<Item = LoadWord> {
+        let loads = self.running.iter().zip(&self.waiting);
+        let words = self.tags.iter().zip(loads).zip(&self.ages);
+        words.map(move |((&tag, (&running, &waiting)), &age)| LoadWord {
+            upstream: UpstreamTag(tag),
+            load: LoadReport { running, waiting },
+            at: now.back(Duration::from_millis(LOAD_AGE_MS * u64::from(age))),
+        })
     }
 }
 
 /// A heartbeat.
 #[derive(Clone, PartialEq, Message)]
 pub struct HeartbeatFrame {
-    /// The sender.
+    /// The sender, then members that it heard of.
     #[prost(message, optional, tag = "1")]
-    pub sender: Option<MemberFrame>,
-    /// Members that the sender heard of.
-    #[prost(message, repeated, tag = "2")]
-    pub members: Vec<MemberFrame>,
+    pub members: Option<MemberColumns>,
     /// Version of the configuration that the sender has in force.
-    #[prost(uint64, tag = "3")]
+    #[prost(uint64, tag = "2")]
     pub config_version: u64,
     /// Revision of the store up to which the sender knows all changes.
-    #[prost(uint64, tag = "4")]
+    #[prost(uint64, tag = "3")]
     pub store_revision: u64,
+    /// Loads of the busiest upstreams.
+    #[prost(message, optional, tag = "4")]
+    pub loads: Option<LoadColumns>,
 }
 
 /// Asks a peer for documents that are newer.
--- a/src/policy/upstream_choice.rs
+++ b/src/policy/upstream_choice.rs
@@ -45,6 +45,8 @@
     pub near: bool,
     /// Whether it may be chosen.
     pub usable: UpstreamUse,
+    /// Whether others may copy from its cache.
+    pub readable: bool,
 }
 
 /// The shared part by which a call's home is found.
@@ -116,10 +118,9 @@
 /// The home of a prompt but for the upstream that was chosen: it most likely has read the prompt's
 /// shared parts, be it that the chosen one is its overflow, or took its place.
 pub fn other_home(options: &[UpstreamOption], prompt: u64, chosen: usize) -> Option<usize> {
-    let others = options.iter().enumerate().filter(|&(index, option)| {
-        index != chosen && matches!(option.usable, UpstreamUse::Open | UpstreamUse::Closed)
-    });
+    let others = options.iter().enumerate();
     others
+        .filter(|&(index, option)| index != chosen && option.readable)
         .map(|(index, option)| (rendezvous_score(option, prompt), index))
         .max_by(|left, right| left.0.total_cmp(&right.0))
         .map(|(_, index)| index)
--- a/src/policy/upstream_track.rs
+++ b/src/policy/upstream_track.rs
@@ -9,6 +9,16 @@
 /// How long a load report counts; then this router's own calls are all it knows.
 const REPORT_LIFE: Duration = Duration::from_secs(2);
 
+/// A load report, and what was known when it came.
+#[derive(Clone, Copy, Debug)]
+struct TrackReport {
+    load: LoadReport,
+    /// When the upstream was at this load.
+    at: MonoTime,
+    /// This router's calls at the upstream when the report came.
+    own: u32,
+}
+
 /// This router's calls at an upstream, and what the upstream reported.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTrack {
@@ -16,22 +26,25 @@
     pub own: u32,
     /// Judgement by what was seen.
     pub health: UpstreamHealth,
-    report: Option<(LoadReport, u32, MonoTime)>,
+    report: Option<TrackReport>,
 }
 
 impl UpstreamTrack {
-    /// Takes a report.
-    pub fn reported(&mut self, report: LoadReport, now: MonoTime) {
-        self.report = Some((report, self.own, now));
+    /// Takes a report of the upstream's load at `at`, unless a later one is known.
+    pub fn reported(&mut self, load: LoadReport, at: MonoTime) {
+        if self.report.is_none_or(|known| known.at < at) {
+            let own = self.own;
+            self.report = Some(TrackReport { load, at, own });
+        }
     }
 
     /// Calls that the upstream has from all of `routers`, as far as known.
     pub fn load(&self, routers: usize, now: MonoTime) -> f64 {
         let own = f64::from(self.own);
         match self.fresh_report(now) {
-            Some((report, own_then)) => {
-                let reported = f64::from(report.running + report.waiting);
-                (reported + own - f64::from(own_then)).max(own)
+            Some(report) => {
+                let reported = f64::from(report.load.running + report.load.waiting);
+                (reported + own - f64::from(report.own)).max(own)
             }
             None => own * routers as f64,
         }
@@ -40,11 +53,11 @@
     /// Whether the upstream lately said that calls wait there.
     pub fn is_queued(&self, now: MonoTime) -> bool {
         self.fresh_report(now)
-            .is_some_and(|(report, _)| report.waiting > 0)
+            .is_some_and(|report| report.load.waiting > 0)
     }
 
-    fn fresh_report(&self, now: MonoTime) -> Option<(LoadReport, u32)> {
-        let (report, own_then, at) = self.report?;
-        (now.since(at) <= REPORT_LIFE).then_some((report, own_then))
+    fn fresh_report(&self, now: MonoTime) -> Option<TrackReport> {
+        self.report
+            .filter(|report| now.since(report.at) <= REPORT_LIFE)
     }
 }
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -4,10 +4,12 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use hawthornrouter::dialect::LoadReport;
 use hawthornrouter::fleet::member_table::{GOSSIP_PERIOD, MemberRecord, MemberStage, MemberTable};
-use hawthornrouter::gossip::frames::{HeartbeatFrame, MemberFrame};
+use hawthornrouter::gossip::frames::{HeartbeatFrame, LoadColumns, MemberColumns};
 use hawthornrouter::ids::IncarnationId;
 use hawthornrouter::mono::MonoTime;
+use hawthornrouter::policy::load_news::{LoadNews, LoadWord, UpstreamTag};
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -184,14 +186,27 @@
         fleet.rounds(40);
         let table = &fleet.tables[&address(1)];
         let records = table.frame_records(fleet.now, &mut fleet.rng);
+        let mut members = MemberColumns::default();
+        members.push(&table.own(), Duration::ZERO);
+        for (record, age) in &records {
+            members.push(record, *age);
+        }
+        let mut news = LoadNews::default();
+        for number in 0..200 {
+            news.note(LoadWord {
+                upstream: UpstreamTag(u32::MAX - number),
+                load: LoadReport {
+                    running: 64,
+                    waiting: 200,
+                },
+                at: fleet.now.back(Duration::from_millis(500)),
+            });
+        }
         let frame = HeartbeatFrame {
-            sender: Some(MemberFrame::new(&table.own(), Duration::ZERO)),
-            members: records
-                .iter()
-                .map(|(record, age)| MemberFrame::new(record, *age))
-                .collect(),
+            members: Some(members),
             config_version: 1 << 20,
             store_revision: 1 << 40,
+            loads: Some(LoadColumns::new(&news.busiest(fleet.now), fleet.now)),
         };
         // Three to members and at times one to a seed, with UDP and IP headers.
         let rounds_a_second = 1.0 / GOSSIP_PERIOD.as_secs_f64();
--- a/tests/prompt_heat.rs
+++ b/tests/prompt_heat.rs
@@ -105,6 +105,7 @@
             load: track.load(ROUTERS, now),
             near: false,
             usable: UpstreamUse::Open,
+            readable: true,
         };
         tracks.iter().enumerate().map(option).collect()
     }
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -19,6 +19,7 @@
             load: 0.0,
             near: false,
             usable: UpstreamUse::Open,
+            readable: true,
         })
         .collect()
 }
