--- a/src/fleet/member_table.rs
+++ b/src/fleet/member_table.rs
@@ -17,7 +17,7 @@
 pub const GOSSIP_PERIOD: Duration = Duration::from_millis(250);
 
 /// Members that one round of heartbeats goes to.
-const ROUND_FANOUT: usize = 3;
+pub const ROUND_FANOUT: usize = 3;
 
 /// Records that one heartbeat carries beside the sender's: more would take a router over the 5 KB/s
 /// that it may spend on control.
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -2,7 +2,7 @@
 
 use hawthornrouter::ids::UpstreamKey;
 use hawthornrouter::policy::upstream_choice::{
-    HomeBound, PromptHome, UpstreamOption, UpstreamUse, choose_upstream,
+    HomeBound, PromptHome, UpstreamOption, UpstreamUse, choose_upstream, other_home,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -109,3 +109,36 @@
         .collect();
     assert!(drawn.contains(&1) && drawn.contains(&2) && !drawn.contains(&0));
 }
+
+#[test]
+fn source_of_overflow() {
+    let mut engines = options(9);
+    let first = home(&engines, 7);
+    assert_ne!(other_home(&engines, 7, first), Some(first));
+    // The full home has read what its overflow lacks.
+    engines[first].load = 100.0;
+    let second = home(&engines, 7);
+    assert_ne!(second, first);
+    assert_eq!(other_home(&engines, 7, second), Some(first));
+    // An upstream at rest may not answer.
+    engines[first].readable = false;
+    assert_ne!(other_home(&engines, 7, second), Some(first));
+}
+
+#[test]
+fn source_of_successor() {
+    // A new upstream copies from the home that it takes over from, and the next in order from one
+    // that is leaving.
+    let nine = options(9);
+    let ten = options(10);
+    let taken: Vec<u64> = (0..400).filter(|&prompt| home(&ten, prompt) == 9).collect();
+    assert!(!taken.is_empty());
+    for prompt in taken {
+        assert_eq!(other_home(&ten, prompt, 9), Some(home(&nine, prompt)));
+        let mut leaving = ten.clone();
+        leaving[9].usable = UpstreamUse::Closed;
+        let next = home(&leaving, prompt);
+        assert_eq!(other_home(&leaving, prompt, next), Some(9));
+    }
+    assert_eq!(other_home(&options(1), 7, 0), None);
+}
