Check the platform's settings files and saved configurations

hawthorn-entry check FILE… names every faulty field by its path, and every route that can't do what its author expects: a prefix without slashes at both ends, a service that is not listed, no time, no attempt, a route that another one replaces. The router writes the same faults to its log when such a configuration comes into force (config-fault, at most ten lines each).

--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -2,7 +2,7 @@
 
 mod admin_call;
 pub mod capacity;
-mod check;
+pub mod check;
 pub mod ctl;
 mod diff;
 mod drain;
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -12,12 +12,20 @@
 
 /// Checks every file and reports every fault.
 pub fn run(files: &[PathBuf]) -> RouterResult<()> {
+    check_each(files, check_file)
+}
+
+/// Checks every file with `check`, which tells what it is, and reports every fault.
+pub fn check_each<F>(files: &[PathBuf], check: F) -> RouterResult<()>
+where
+    F: Fn(&Path) -> RouterResult<&'static str>,
+{
     if files.is_empty() {
         return Err(RouterError::Usage("name at least one file".to_owned()));
     }
     let mut faults = 0;
     for file in files {
-        match check_file(file) {
+        match check(file) {
             Ok(kind) => println!("{}: {kind} ok", file.display()),
             Err(error) => {
                 faults += 1;
--- a/src/fleet/store_belief.rs
+++ b/src/fleet/store_belief.rs
@@ -25,6 +25,9 @@
 /// How long removals are remembered for peers that are behind.
 const REMOVAL_MEMORY: Duration = Duration::from_mins(1);
 
+/// Faults of one configuration that are written to the log; `check` shows all.
+const FAULT_LINES: usize = 10;
+
 /// A number that the store raises with each change.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct StoreRevision(pub u64);
@@ -381,8 +384,12 @@
             return BeliefEffect::default();
         }
         spdlog::info!("config-accepted", kv: {
-            version: = table.version, revision: = item.revision, routes: = table.route_count()
+            version: = table.version, revision: = item.revision, routes: = table.route_count(),
+            faults: = table.faults().len()
         });
+        for fault in table.faults().iter().take(FAULT_LINES) {
+            spdlog::warn!("config-fault", kv: { version: = table.version, reason: = fault });
+        }
         self.config = Some(ConfigBelief {
             value: item.value,
             revision: item.revision,
--- a/src/route/route_table.rs
+++ b/src/route/route_table.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 
 use crate::ids::{AccountId, ServiceId};
-use crate::route::{EdgeLimits, PriorityRank, RouteRule};
+use crate::route::{EdgeLimits, PriorityRank, RouteProblem, RouteRule, TableFault};
 
 /// Number of a configuration; a larger one is newer.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -51,6 +51,7 @@
     /// Grants by key; none where calls need no keys.
     grants: Option<HashMap<Bytes, Arc<AccountGrant>>>,
     routes: usize,
+    faults: Vec<TableFault>,
 }
 
 impl RouteTable {
@@ -90,6 +91,41 @@
         self.grants.as_ref()?.get(key)
     }
 
+    /// Routes that do not do what their author expects, in the order of their names.
+    pub fn faults(&self) -> &[TableFault] {
+        &self.faults
+    }
+
+    fn find_faults(&mut self) {
+        let Self {
+            hosts,
+            services,
+            faults,
+            ..
+        } = self;
+        for rule in hosts.values().flat_map(HashMap::values) {
+            let mut fault = |problem| {
+                let route = rule.name.clone();
+                faults.push(TableFault { route, problem });
+            };
+            if !(rule.prefix.starts_with('/') && rule.prefix.ends_with('/')) {
+                fault(RouteProblem::BadPrefix(rule.prefix.clone()));
+            }
+            if rule.time_limit.is_zero() {
+                fault(RouteProblem::NoTime);
+            }
+            if rule.max_attempts == 0 {
+                fault(RouteProblem::NoAttempt);
+            }
+            for split in &rule.splits {
+                if !services.contains_key(&split.service) {
+                    fault(RouteProblem::UnknownService(split.service.clone()));
+                }
+            }
+        }
+        faults.sort_by(|left, right| left.route.cmp(&right.route));
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes
@@ -113,6 +149,7 @@
                 services: HashMap::new(),
                 grants: None,
                 routes: 0,
+                faults: Vec::new(),
             },
         }
     }
@@ -121,8 +158,13 @@
     #[must_use]
     pub fn route(mut self, rule: RouteRule) -> Self {
         let routes = self.table.hosts.entry(rule.host.clone()).or_default();
-        if routes.insert(rule.prefix.clone(), Arc::new(rule)).is_none() {
-            self.table.routes += 1;
+        let name = rule.name.clone();
+        match routes.insert(rule.prefix.clone(), Arc::new(rule)) {
+            None => self.table.routes += 1,
+            Some(replaced) => self.table.faults.push(TableFault {
+                route: replaced.name.clone(),
+                problem: RouteProblem::Replaced(name),
+            }),
         }
         self
     }
@@ -151,7 +193,8 @@
     }
 
     /// The finished table.
-    pub fn build(self) -> RouteTable {
+    pub fn build(mut self) -> RouteTable {
+        self.table.find_faults();
         self.table
     }
 }
--- a/tests/route_table.rs
+++ b/tests/route_table.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use hawthornrouter::route::{
-    AccountGrant, CallKind, ConfigVersion, EdgeLimits, PriorityRank, RouteRule, RouteTable,
-    ServiceSplit, TableBuilder,
+    AccountGrant, CallKind, ConfigVersion, EdgeLimits, PriorityRank, RouteProblem, RouteRule,
+    RouteTable, ServiceRule, ServiceSplit, TableBuilder,
 };
 use hawthornrouter::units::ByteSize;
 
@@ -105,3 +105,40 @@
     assert_eq!(keyed.grant(b"k2").unwrap().account.as_str(), "ana");
     assert!(keyed.grant(b"k").is_none());
 }
+
+#[test]
+fn named_faults() {
+    let known = ServiceRule {
+        service: "known".parse().unwrap(),
+        max_connections: 1,
+        copied_tokens_per_ms: 0.0,
+    };
+    let mut idle = rule("a.example", "/idle/", &[("known", 1)]);
+    idle.time_limit = Duration::ZERO;
+    idle.max_attempts = 0;
+    let mut second = rule("a.example", "/x/", &[("known", 1)]);
+    second.name = "second".parse().unwrap();
+    let table = TableBuilder::new(ConfigVersion(1), limits())
+        .service(known)
+        .route(rule("a.example", "/x/", &[("known", 1)]))
+        .route(second)
+        .route(rule("a.example", "/open", &[("known", 1), ("lost", 1)]))
+        .route(idle)
+        .build();
+    let found: Vec<String> = table.faults().iter().map(ToString::to_string).collect();
+    assert_eq!(
+        found,
+        [
+            "route r-idle-: time limit: found 0, expected more",
+            "route r-idle-: attempts: found 0, expected 1 or more",
+            "route r-open: prefix: found \"/open\", expected a slash at both ends",
+            "route r-open: service: found lost, expected one that is listed",
+            "route r-x-: route second of the same host and prefix replaces it",
+        ]
+    );
+    let replaced = table.faults().last().map(|fault| &fault.problem);
+    assert_eq!(
+        replaced,
+        Some(&RouteProblem::Replaced("second".parse().unwrap()))
+    );
+}
