Keep pages of the store when a later one is refused; a soak of random faults; smaller files

Cause: a router that read the store page by page began anew when one page was refused. A store that is too busy for all routers that start at once would never give one of them all pages. busy_store (a store that answers every third call) waited in vain before, and every page is asked for at most three times now. What a peer told is no longer read again from the store (told_by_peer).

fault_soak plays routers, engines and a store as processes and threads on loopback: pauses, kills, stops, reloads, a proxy before each engine that delays, loses, resets or goes silent, a store that refuses, resets or is silent to single routers, entries and configurations that change, overlapping from a seed. Callers keep connections until they end. It checks runs, refusals, answers, events, attempts, keys and recovery.

--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -12,7 +12,6 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::unbounded_channel;
-use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
 use crate::error::{RouterError, RouterResult, StepName};
@@ -20,7 +19,7 @@
 use crate::fleet::store_belief::DocumentCodec;
 use crate::forward::front_server::listen;
 use crate::forward_control::control_state::ControlState;
-use crate::forward_control::store_task::follow_store;
+use crate::forward_control::store_task::{StoreNudge, follow_store};
 use crate::forward_settings::ForwardSettings;
 use crate::gossip::{answer_peer, fetch_documents};
 use crate::ids::IncarnationId;
@@ -67,8 +66,8 @@
     let mut hangup = open_signal(SignalKind::hangup())?;
     let (words, mut heard) = unbounded_channel();
     let (fetched, mut gives) = unbounded_channel();
-    let (restart, restarts) = watch::channel(0u64);
-    tokio::task::spawn_local(follow_store(start.store, words, restarts));
+    let (nudges, learned) = unbounded_channel();
+    tokio::task::spawn_local(follow_store(start.store, words, learned));
     let own = MemberRecord {
         address: settings.address,
         incarnation: IncarnationId(rand::rng().random()),
@@ -88,7 +87,11 @@
     loop {
         tokio::select! {
             Some(word) = heard.recv() => state.borrow_mut().store_word(word),
-            Some((peer, give)) = gives.recv() => state.borrow_mut().fetched(peer, give),
+            Some((peer, give)) = gives.recv() => {
+                let known = state.borrow_mut().fetched(peer, give);
+                // The task that follows the store lives as long as this loop.
+                let _ = known.map(|revision| nudges.send(StoreNudge::Known(revision)));
+            }
             received = gossip.recv_from(&mut datagram) => {
                 let Ok((bytes, sender)) = received else { continue };
                 let answer = state.borrow_mut().heartbeat(&datagram[..bytes]);
@@ -99,7 +102,7 @@
             _ = ticks.tick() => {
                 let round = state.borrow_mut().tick();
                 if round.paused {
-                    restart.send_modify(|count| *count += 1);
+                    let _ = nudges.send(StoreNudge::Restart);
                 }
                 if round.read_settings {
                     state.borrow_mut().reload(&start.settings, "poll");
--- a/src/forward_control/store_task.rs
+++ b/src/forward_control/store_task.rs
@@ -1,10 +1,10 @@
 //! Follows the store and reports what it says.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use rand::RngExt;
-use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::watch;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
 use crate::fleet::store_belief::{StoreRevision, StoreSnapshot};
 use crate::store_source::{StoreFault, StoreNews, StoreSource};
@@ -37,60 +37,116 @@
     Failed(anyhow::Error),
 }
 
-/// Follows the store until the receiver is gone. `known` tells up to which revision everything
-/// is known, from whatever source; a change of `restart` drops a pending wait.
+/// What the control thread learned elsewhere.
+#[derive(Clone, Copy, Debug)]
+pub enum StoreNudge {
+    /// The process was paused: what was asked before it may never be answered.
+    Restart,
+    /// A peer told everything up to this revision.
+    Known(StoreRevision),
+}
+
+/// How far the store is known.
+#[derive(Debug)]
+enum StorePosition {
+    /// Pages are read, these so far.
+    Reading(StoreSnapshot),
+    /// Everything up to this revision is known.
+    Following(StoreRevision),
+}
+
+impl StorePosition {
+    fn start() -> Self {
+        Self::Reading(StoreSnapshot::default())
+    }
+
+    fn after(nudge: StoreNudge) -> Self {
+        match nudge {
+            StoreNudge::Restart => Self::start(),
+            StoreNudge::Known(revision) => Self::Following(revision),
+        }
+    }
+
+    /// Asks for what is unknown; none while more pages follow. Pages that were read stay: a store
+    /// that is too busy for all routers that start at once would never give one of them all.
+    async fn ask<S: StoreSource>(
+        &mut self,
+        source: &mut S,
+    ) -> Result<Option<StoreWord>, StoreFault> {
+        match self {
+            Self::Following(revision) => {
+                let news = source.news(*revision).await?;
+                *revision = news.revision.max(*revision);
+                Ok(Some(StoreWord::News(news)))
+            }
+            Self::Reading(snapshot) => {
+                let after = snapshot.items.last().map_or("", |item| item.key.as_str());
+                let page = source.page(after).await?;
+                if snapshot.items.is_empty() {
+                    // Pages are read at different times: changes since the first come as news.
+                    snapshot.revision = page.revision;
+                }
+                let more = page.more && !page.items.is_empty();
+                snapshot.items.extend(page.items);
+                if more {
+                    return Ok(None);
+                }
+                let snapshot = std::mem::take(snapshot);
+                *self = Self::Following(snapshot.revision);
+                Ok(Some(StoreWord::Snapshot(snapshot)))
+            }
+        }
+    }
+}
+
+/// Follows the store until the receiver is gone.
 pub async fn follow_store<S: StoreSource>(
     mut source: S,
     words: UnboundedSender<StoreWord>,
-    mut restart: watch::Receiver<u64>,
+    mut nudges: UnboundedReceiver<StoreNudge>,
 ) {
-    let mut after: Option<StoreRevision> = None;
+    let mut position = StorePosition::start();
     let mut backoff = FIRST_BACKOFF;
     loop {
-        let read = async {
-            match after {
-                None => source.snapshot().await.map(StoreWord::Snapshot),
-                Some(revision) => source.news(revision).await.map(StoreWord::News),
+        let reading = matches!(position, StorePosition::Reading(_));
+        let asked = {
+            let mut ask = pin!(position.ask(&mut source));
+            loop {
+                tokio::select! {
+                    result = &mut ask => break Ok(result),
+                    nudge = nudges.recv() => match nudge {
+                        // The question that waits tells what is newer anyway.
+                        Some(StoreNudge::Known(_)) if !reading => {}
+                        Some(nudge) => break Err(nudge),
+                        None => return,
+                    }
+                }
             }
         };
-        let result = tokio::select! {
-            result = read => result,
-            changed = restart.changed() => {
-                if changed.is_err() {
-                    return;
-                }
-                // The process was paused: what was asked before it may never be answered.
-                after = None;
+        let (word, pause) = match asked {
+            Err(nudge) => {
+                position = StorePosition::after(nudge);
                 continue;
             }
-        };
-        let (word, pause) = match result {
-            Ok(word) => {
+            Ok(Ok(word)) => {
                 backoff = FIRST_BACKOFF;
-                let mut pause = Duration::ZERO;
-                match &word {
-                    StoreWord::Snapshot(snapshot) => after = Some(snapshot.revision),
-                    StoreWord::News(news) => {
-                        after = after.max(Some(news.revision));
-                        if !news.changes.is_empty() {
-                            pause = NEWS_PAUSE;
-                        }
-                    }
-                    StoreWord::HistoryLost | StoreWord::Failed(_) => {}
-                }
-                (word, pause)
+                let changed =
+                    matches!(&word, Some(StoreWord::News(news)) if !news.changes.is_empty());
+                (word, if changed { NEWS_PAUSE } else { Duration::ZERO })
             }
-            Err(StoreFault::HistoryLost) => {
-                after = None;
-                (StoreWord::HistoryLost, HISTORY_PAUSE)
+            Ok(Err(StoreFault::HistoryLost)) => {
+                position = StorePosition::start();
+                (Some(StoreWord::HistoryLost), HISTORY_PAUSE)
             }
-            Err(StoreFault::Failed(error)) => {
+            Ok(Err(StoreFault::Failed(error))) => {
                 let pause = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
                 backoff = (backoff * 2).min(LAST_BACKOFF);
-                (StoreWord::Failed(error), pause)
+                (Some(StoreWord::Failed(error)), pause)
             }
         };
-        if words.send(word).is_err() {
+        if let Some(word) = word
+            && words.send(word).is_err()
+        {
             return;
         }
         if !pause.is_zero() {
--- a/src/store_source.rs
+++ b/src/store_source.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::fleet::store_belief::{StoreChange, StoreRevision, StoreSnapshot};
+use crate::fleet::store_belief::{StoreChange, StoreItem, StoreRevision};
 
 /// Why the store gave no answer.
 #[derive(Debug)]
@@ -31,10 +31,21 @@
     pub revision: StoreRevision,
 }
 
+/// Some documents, in the order of their keys.
+#[derive(Clone, Debug, Default)]
+pub struct StorePage {
+    /// The documents.
+    pub items: Vec<StoreItem>,
+    /// The store's revision when it gave them.
+    pub revision: StoreRevision,
+    /// Whether documents with larger keys follow.
+    pub more: bool,
+}
+
 /// A store that can be read and watched.
 pub trait StoreSource: Send + 'static {
-    /// Reads all documents.
-    fn snapshot(&mut self) -> impl Future<Output = Result<StoreSnapshot, StoreFault>>;
+    /// Reads documents whose keys are larger than `after`.
+    fn page(&mut self, after: &str) -> impl Future<Output = Result<StorePage, StoreFault>>;
 
     /// Waits for changes after a revision; without any, the news are empty after some time.
     fn news(&mut self, after: StoreRevision)
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,7 @@
-//! Stand-ins of the users' platform for tests: its store, engines that follow a script, and a
-//! plain client.
+//! Stand-ins of the users' platform for tests: its store, engines that follow a script, a proxy
+//! that harms connections, and a plain client.
 
+pub mod fault_proxy;
 pub mod plain_client;
 pub mod platform_store;
 pub mod scripted_engine;
--- a/standins/src/plain_client.rs
+++ b/standins/src/plain_client.rs
@@ -2,9 +2,21 @@
 
 use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 use crate::scripted_engine::HANG_LIMIT;
-use crate::wire_text::{WireHead, read_message};
+use crate::wire_text::{WireHead, read_body, read_head, read_message};
+
+/// An answer, as far as it came.
+#[derive(Clone, Debug)]
+pub struct ReadAnswer {
+    /// Its head.
+    pub head: WireHead,
+    /// What came of its body.
+    pub body: String,
+    /// Whether the body came to its end.
+    pub whole: bool,
+}
 
 /// A connection of a client.
 pub struct PlainClient {
@@ -24,6 +36,11 @@
         })
     }
 
+    /// Waits for bytes only so long.
+    pub fn patience(&self, limit: Duration) -> io::Result<()> {
+        self.socket.set_read_timeout(Some(limit))
+    }
+
     /// Sends bytes.
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.socket.write_all(bytes)
@@ -36,6 +53,18 @@
         Ok((head, String::from_utf8_lossy(&body).into_owned()))
     }
 
+    /// Reads an answer as far as it comes; an error if no head comes.
+    pub fn read(&mut self) -> io::Result<ReadAnswer> {
+        let head = read_head(&mut self.reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let mut body = Vec::new();
+        let whole = read_body(&mut self.reader, &head, true, &mut body).is_ok();
+        Ok(ReadAnswer {
+            head,
+            body: String::from_utf8_lossy(&body).into_owned(),
+            whole,
+        })
+    }
+
     /// Reads some bytes as they come; empty at the end.
     pub fn some(&mut self) -> io::Result<Vec<u8>> {
         let mut bytes = vec![0; 65_536];
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -27,6 +27,8 @@
     Reset,
     /// Takes them and says nothing.
     Silent,
+    /// Answers every third call and refuses the others.
+    Busy,
 }
 
 #[derive(Debug)]
@@ -161,10 +163,15 @@
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .push(head.target().to_owned());
-            let answer = (door.mode() == StoreMode::Serve).then(|| self.answer(head.target()));
+            let serves = match door.mode() {
+                StoreMode::Busy => door.calls().len().is_multiple_of(3),
+                mode => mode == StoreMode::Serve,
+            };
+            let answer = serves.then(|| self.answer(head.target()));
             let (status, body) = match (answer, door.mode()) {
                 // A call that waited is cut when the mode has changed meanwhile.
-                (Some(answer), StoreMode::Serve) => answer,
+                (Some(answer), StoreMode::Serve | StoreMode::Busy) => answer,
+                (None, StoreMode::Busy) => (429, json!({})),
                 (_, StoreMode::Refuse(status)) => (status, json!({})),
                 (_, StoreMode::Silent) => {
                     let _ = read_message(&mut reader, false);
--- a/standins/src/wire_text.rs
+++ b/standins/src/wire_text.rs
@@ -57,22 +57,25 @@
     }
 }
 
-fn read_exactly<R: Read>(reader: &mut R, count: usize) -> io::Result<Vec<u8>> {
-    let mut bytes = vec![0; count];
-    reader.read_exact(&mut bytes)?;
-    Ok(bytes)
+fn read_exactly<R: Read>(reader: &mut R, count: usize, body: &mut Vec<u8>) -> io::Result<()> {
+    let start = body.len();
+    body.resize(start + count, 0);
+    let read = reader.read_exact(&mut body[start..]);
+    if read.is_err() {
+        body.truncate(start);
+    }
+    read
 }
 
-fn read_chunks<R: Read>(reader: &mut R) -> io::Result<Vec<u8>> {
-    let mut body = Vec::new();
+fn read_chunks<R: Read>(reader: &mut R, body: &mut Vec<u8>) -> io::Result<()> {
     loop {
         let line = read_line(reader)?.ok_or_else(|| broken("chunk cut"))?;
         let size = line.split(';').next().unwrap_or_default().trim().to_owned();
         let size = usize::from_str_radix(&size, 16).map_err(|_| broken("chunk size"))?;
-        body.extend(read_exactly(reader, size)?);
+        read_exactly(reader, size, body)?;
         read_line(reader)?.ok_or_else(|| broken("chunk cut"))?;
         if size == 0 {
-            return Ok(body);
+            return Ok(());
         }
     }
 }
@@ -83,6 +86,16 @@
     reader: &mut R,
     until_close: bool,
 ) -> io::Result<Option<(WireHead, Vec<u8>)>> {
+    let Some(head) = read_head(reader)? else {
+        return Ok(None);
+    };
+    let mut body = Vec::new();
+    read_body(reader, &head, until_close, &mut body)?;
+    Ok(Some((head, body)))
+}
+
+/// Reads a head; none at an orderly end before its first byte.
+pub fn read_head<R: Read>(reader: &mut R) -> io::Result<Option<WireHead>> {
     let Some(start) = read_line(reader)? else {
         return Ok(None);
     };
@@ -99,17 +112,24 @@
         head.headers
             .push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
-    let body = if head.header("transfer-encoding").is_some() {
-        read_chunks(reader)?
+    Ok(Some(head))
+}
+
+/// Reads the body that belongs to `head`; after an error, `body` holds what came before it.
+pub fn read_body<R: Read>(
+    reader: &mut R,
+    head: &WireHead,
+    until_close: bool,
+    body: &mut Vec<u8>,
+) -> io::Result<()> {
+    if head.header("transfer-encoding").is_some() {
+        read_chunks(reader, body)
     } else if let Some(length) = head.header("content-length") {
         let length = length.parse().map_err(|_| broken("length"))?;
-        read_exactly(reader, length)?
+        read_exactly(reader, length, body)
     } else if until_close {
-        let mut body = Vec::new();
-        reader.read_to_end(&mut body)?;
-        body
+        reader.read_to_end(body).map(|_| ())
     } else {
-        Vec::new()
-    };
-    Ok(Some((head, body)))
+        Ok(())
+    }
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod caller;
+pub mod plan;
 pub mod process;
 
 use std::collections::HashMap;
@@ -19,12 +20,13 @@
     AccountEntry, AssetRegister, DataCenterEntry, EngineEntry, ModelEntry, ServiceEntry, VmEntry,
     token_digest,
 };
-use hawthornrouter::rules::{RuleBook, default_rules};
 use hawthornrouter::settings::{
     AdminScope, AdminToken, LocatorSettings, LocatorTarget, PeerSeed, RouterSettings,
 };
 use hawthornrouter::units::TimeSpan;
 
+pub use plan::{FleetPlan, RelayLeg};
+
 use caller::TestCaller;
 use process::{TestProcess, router_binary, standins_binary};
 
@@ -59,80 +61,6 @@
     }
 }
 
-/// What a fleet consists of.
-#[derive(Clone)]
-pub struct FleetPlan {
-    pub name: String,
-    pub routers: usize,
-    pub engines: usize,
-    pub slots: u32,
-    pub event_ms: u64,
-    pub rules: RuleBook,
-    /// Puts a relay before this leg.
-    pub relay: Option<RelayLeg>,
-    /// Only the first router reaches the configuration service.
-    pub one_reaches_config: bool,
-}
-
-/// A leg that goes through a relay.
-#[derive(Clone, Copy, PartialEq)]
-pub enum RelayLeg {
-    /// From routers to the first engine.
-    Engine,
-    /// From routers to the configuration service.
-    Config,
-    /// From the other routers to the first.
-    Peer,
-}
-
-impl FleetPlan {
-    pub fn new(name: &str) -> Self {
-        let mut rules = default_rules();
-        rules.locator_answer = TimeSpan::from_millis(300);
-        rules.service_answer = TimeSpan::from_millis(3000);
-        Self {
-            name: name.to_owned(),
-            routers: 2,
-            engines: 3,
-            slots: 8,
-            event_ms: 1,
-            rules,
-            relay: None,
-            one_reaches_config: false,
-        }
-    }
-
-    pub fn one_reaches_config(mut self) -> Self {
-        self.one_reaches_config = true;
-        self
-    }
-
-    pub fn routers(mut self, routers: usize) -> Self {
-        self.routers = routers;
-        self
-    }
-
-    pub fn engines(mut self, engines: usize) -> Self {
-        self.engines = engines;
-        self
-    }
-
-    pub fn slots(mut self, slots: u32) -> Self {
-        self.slots = slots;
-        self
-    }
-
-    pub fn relay(mut self, leg: RelayLeg) -> Self {
-        self.relay = Some(leg);
-        self
-    }
-
-    pub fn rules(mut self, change: impl FnOnce(&mut RuleBook)) -> Self {
-        change(&mut self.rules);
-        self
-    }
-}
-
 /// A router of the fleet.
 pub struct RouterNode {
     pub settings: RouterSettings,
