Make the play of many routers a scenario of the bench, with baselines

late-loads plays 27 routers and 140 upstreams on virtual time: a hot prompt, uneven homes, long calls and replaced upstreams. Beside the product: own reports only, the router's own memory as the source of copies, homes without a bound, the least loaded upstream, any upstream. Bound: three calls in a hundred above the load bound.

--- a/src/bench.rs
+++ b/src/bench.rs
@@ -12,6 +12,8 @@
 pub mod fleet_sim;
 pub mod flood;
 pub mod hawthorn_policy;
+pub mod home_sim;
+pub mod late_loads;
 pub mod load_bound;
 pub mod oracle_policy;
 pub mod prefix_cache;
--- a/src/bench/scenario.rs
+++ b/src/bench/scenario.rs
@@ -1,7 +1,7 @@
 //! The scenarios by name.
 
 use crate::bench::report::ScenarioReport;
-use crate::bench::{doubled_order, flood, load_bound, ranks, reuse};
+use crate::bench::{doubled_order, flood, late_loads, load_bound, ranks, reuse};
 
 /// A scenario that can be run.
 #[derive(Clone, Copy)]
@@ -46,6 +46,11 @@
         about: "prefix reuse through churn and skew, and the control traffic it costs",
         run: reuse::run,
     },
+    BenchScenario {
+        name: "late-loads",
+        about: "homes of prompts among 27 routers that hear late of loads",
+        run: late_loads::run,
+    },
 ];
 
 /// The scenario called `name`.
