--- a/src/client.rs
+++ b/src/client.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +24,10 @@
 /// Longest time to open a connection to an upstream.
 pub const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
+/// Kept connections above which those that peers closed are dropped: more than any process has
+/// peers.
+const IDLE_LINKS: usize = 4096;
+
 /// What one call may take.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLimits {
@@ -231,7 +235,7 @@
     }
 }
 
-fn lock(idle: &IdleLinks) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, UpstreamLink>> {
+fn lock(idle: &IdleLinks) -> MutexGuard<'_, HashMap<SocketAddr, UpstreamLink>> {
     idle.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -264,7 +268,11 @@
             .map_err(|_| CallFault::Late)?
             .map_err(|error| CallFault::Body(error.to_string()))?;
         if let Some((idle, address)) = self.keep {
-            lock(&idle).insert(address, self.link);
+            let mut idle = lock(&idle);
+            if idle.len() >= IDLE_LINKS {
+                idle.retain(|_, link| link.usable());
+            }
+            idle.insert(address, self.link);
         }
         Ok(body.to_bytes())
     }
