Take a peer's word for all documents only where nothing was known

Cause, found on reading the change: a router that reads the store page by page gave that up when a peer's documents came, and followed the store from the peer's revision. Peers remember removals for a minute only, so a router that had been paused for longer could keep entries that are gone. The new test paused_beside_peer (pause, store refuses, peer tells) waited in vain for the new reading.

Change: the reading is given up only by a router that knew nothing before the peer's documents.

After: paused_beside_peer passes, store_faults 13 and fleet_members 4 pass, clippy clean.

--- a/src/forward_control/control_state/peer_documents.rs
+++ b/src/forward_control/control_state/peer_documents.rs
@@ -93,7 +93,8 @@
         }
     }
 
-    /// Merges what a peer gave; the revision of the store up to which everything is known then.
+    /// Merges what a peer gave; the revision of the store up to which everything is known by that.
+    /// Peers forget removals, so only a router that knew nothing has everything from them.
     pub fn fetched(
         &mut self,
         peer: SocketAddrV4,
@@ -105,6 +106,7 @@
             Ok(give) => {
                 let count = give.documents.len();
                 let revision = StoreRevision(give.store_revision);
+                let knew_nothing = self.belief.revision() == StoreRevision::default();
                 let changes = give.documents.into_iter().map(StoreChange::from).collect();
                 let effect = self.belief.merge_peer(changes, revision, now);
                 spdlog::info!("documents-from-peer", kv: {
@@ -112,7 +114,7 @@
                     version: = self.belief.config_version()
                 });
                 self.publish(effect);
-                Some(revision)
+                knew_nothing.then_some(revision)
             }
             Err(error) => {
                 spdlog::warn!("documents-missed", kv: { reason: = error });
--- a/src/forward_control/store_task.rs
+++ b/src/forward_control/store_task.rs
@@ -42,7 +42,7 @@
 pub enum StoreNudge {
     /// The process was paused: what was asked before it may never be answered.
     Restart,
-    /// A peer told everything up to this revision.
+    /// A peer told everything up to this revision, to a router that knew nothing.
     Known(StoreRevision),
 }
 
