Name at most 64 routers to a caller, those of its data centre first

Cause: callers take 64 addresses of a locate response.

Change: policy/locate_choice.rs picks the addresses; heartbeats tell each member's data centre (13 records in place of 15, to stay within 5 KB/s).

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -11,7 +11,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::{AccountId, UpstreamId};
+use crate::ids::{AccountId, DataCenterId, UpstreamId};
 use crate::route::PriorityRank;
 
 /// One part of a prompt.
@@ -131,8 +131,8 @@
 /// A caller's request for router addresses.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LocateRequest {
-    /// Data centre of the caller; `None` if it named none.
-    pub data_center: Option<String>,
+    /// Data centre of the caller; `None` if it named none, or one with an invalid name.
+    pub data_center: Option<DataCenterId>,
 }
 
 /// The response to a [`LocateRequest`].
--- a/src/fleet/member_table.rs
+++ b/src/fleet/member_table.rs
@@ -11,7 +11,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, RngExt};
 
-use crate::ids::IncarnationId;
+use crate::ids::{DataCenterTag, IncarnationId};
 use crate::mono::MonoTime;
 
 /// Time between two rounds of heartbeats.
@@ -22,7 +22,7 @@
 
 /// Number of records of other members in one heartbeat. More would exceed the budget of 5 KB/s that
 /// a router has for control traffic.
-const FRAME_RECORDS: usize = 15;
+const FRAME_RECORDS: usize = 13;
 
 /// Number of rounds without a heartbeat after which a member that sends directly to this router
 /// counts as down. Several datagrams in a row may be lost.
@@ -57,6 +57,8 @@
     /// Identifies the run of the process; a restart has a new one.
     pub incarnation: IncarnationId,
     pub stage: MemberStage,
+    /// Data centre of the VM.
+    pub data_center: DataCenterTag,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/src/forward/front_server.rs
+++ b/src/forward/front_server.rs
@@ -15,13 +15,15 @@
 use socket2::{Domain, Socket, Type};
 use tokio::net::TcpListener;
 
-use crate::dialect::{EdgeDialect, LocateResponse};
+use crate::dialect::{EdgeDialect, LocateRequest, LocateResponse};
 use crate::error::{RouterError, RouterResult, StepName};
 use crate::forward::front_handler::{FrontResponse, handle_call};
 use crate::forward::http_connection::set_socket_options;
 use crate::forward::relay_body::RelayBody;
 use crate::forward::traffic_state::TrafficState;
 use crate::forward_board::ForwardStage;
+use crate::ids::DataCenterTag;
+use crate::policy::locate_choice::choose_routers;
 use crate::route::EdgeLimits;
 use crate::units::ByteSize;
 
@@ -203,8 +205,8 @@
             "text/plain",
         );
     }
-    if state.dialect.read_locate_request(target).is_some() {
-        return locate_response(state);
+    if let Some(request) = state.dialect.read_locate_request(target) {
+        return locate_response(state, &request);
     }
     if path == "/metrics" {
         return match state.telemetry.text() {
@@ -222,14 +224,18 @@
     short_response(StatusCode::NOT_FOUND, Bytes::new(), "text/plain")
 }
 
-/// Returns the addresses of the routers that callers may use.
-fn locate_response<D: EdgeDialect>(state: &Rc<TrafficState<D>>) -> FrontResponse {
+/// Returns the addresses of routers that the caller may use.
+fn locate_response<D: EdgeDialect>(
+    state: &Rc<TrafficState<D>>,
+    request: &LocateRequest,
+) -> FrontResponse {
     let settings = state.board.settings.load();
     let port = settings.front.port();
-    let routers = state.board.router_addresses.load();
-    let addresses: Vec<String> = routers
-        .iter()
-        .map(|address| SocketAddrV4::new(*address, port).to_string())
+    let routers = state.board.serving_routers.load();
+    let data_center = request.data_center.as_ref().map(DataCenterTag::from);
+    let addresses: Vec<String> = choose_routers(&routers, data_center)
+        .into_iter()
+        .map(|address| SocketAddrV4::new(address, port).to_string())
         .collect();
     if addresses.is_empty() {
         return short_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new(), "text/plain");
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -1,6 +1,5 @@
 //! State that the control thread and the traffic thread of a forwarding router share.
 
-use std::net::Ipv4Addr;
 use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -9,6 +8,7 @@
 use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::forward_settings::ForwardSettings;
 use crate::policy::latest_loads::LatestLoads;
+use crate::policy::locate_choice::RouterPlace;
 use crate::route::RouteTable;
 
 /// Stage in the life cycle of a forwarding router.
@@ -47,8 +47,8 @@
     pub routes: ArcSwapOption<RouteTable>,
     /// All registered upstreams, draining ones included.
     pub upstreams: ArcSwap<Vec<Arc<UpstreamEntry>>>,
-    /// Addresses of the routers that serve callers.
-    pub router_addresses: ArcSwap<Vec<Ipv4Addr>>,
+    /// The routers that serve callers.
+    pub serving_routers: ArcSwap<Vec<RouterPlace>>,
     /// Upper estimate of the number of routers.
     pub fleet_size: AtomicUsize,
     /// When the store last responded, in milliseconds of the process's clock; 0 before that.
@@ -66,7 +66,7 @@
             settings: ArcSwap::from_pointee(settings),
             routes: ArcSwapOption::empty(),
             upstreams: ArcSwap::default(),
-            router_addresses: ArcSwap::default(),
+            serving_routers: ArcSwap::default(),
             fleet_size: AtomicUsize::new(1),
             store_responded_ms: AtomicU64::new(0),
             calls: AtomicUsize::new(0),
--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -22,7 +22,7 @@
 use crate::forward_control::store_task::{StoreCommand, follow_store};
 use crate::forward_settings::ForwardSettings;
 use crate::gossip::{fetch_documents, serve_document_request};
-use crate::ids::IncarnationId;
+use crate::ids::{DataCenterTag, IncarnationId};
 use crate::store_source::StoreSource;
 
 pub use crate::forward_control::control_state::ControlParts;
@@ -72,6 +72,7 @@
         address: settings.address,
         incarnation: IncarnationId(rand::rng().random()),
         stage: MemberStage::Booting,
+        data_center: DataCenterTag::from(&settings.data_center),
     };
     let state = ControlState::new(start.codec, start.parts, own);
     let state = Rc::new(RefCell::new(state));
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -18,6 +18,7 @@
 use crate::forward_settings::ForwardSettings;
 use crate::gossip::frames::{HeartbeatFrame, LoadColumns, MemberColumns};
 use crate::mono::{MonoTime, ProcessClock};
+use crate::policy::locate_choice::RouterPlace;
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
 use crate::route::ConfigVersion;
 
@@ -235,12 +236,15 @@
     fn publish_members(&self, now: MonoTime) {
         let live = self.members.live(now);
         let serving = |record: &&MemberRecord| record.stage == MemberStage::Serving;
-        let addresses: Vec<Ipv4Addr> = live
+        let routers: Vec<RouterPlace> = live
             .iter()
             .filter(serving)
-            .map(|record| record.address)
+            .map(|record| RouterPlace {
+                address: record.address,
+                data_center: record.data_center,
+            })
             .collect();
-        self.board.router_addresses.store(Arc::new(addresses));
+        self.board.serving_routers.store(Arc::new(routers));
         let fleet = self.members.fleet_size();
         self.board.fleet_size.store(fleet, Ordering::Relaxed);
         set_count(&self.telemetry.routers, live.len());
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -10,7 +10,7 @@
 use crate::dialect::LoadReport;
 use crate::fleet::member_table::{MemberRecord, MemberStage};
 use crate::fleet::store_view::{StoreChange, StoreItem, StoreRevision};
-use crate::ids::IncarnationId;
+use crate::ids::{DataCenterTag, IncarnationId};
 use crate::mono::MonoTime;
 use crate::policy::latest_loads::{UpstreamLoad, UpstreamTag};
 
@@ -27,6 +27,9 @@
     /// milliseconds since the sender had the latest information about the member.
     #[prost(uint32, repeated, tag = "3")]
     pub states: Vec<u32>,
+    /// Tags of the data centres, see [`DataCenterTag`]. Empty in frames of earlier versions.
+    #[prost(uint32, repeated, tag = "4")]
+    pub data_centers: Vec<u32>,
 }
 
 impl MemberColumns {
@@ -41,14 +44,14 @@
         self.addresses.push(record.address.to_bits());
         self.incarnations.push(record.incarnation.0);
         self.states.push(age_ms.min(u32::MAX >> 2) << 2 | stage);
+        self.data_centers.push(record.data_center.0.into());
     }
 
     /// Iterates over the records and their ages and skips records with an unknown stage.
     pub fn records(&self) -> impl Iterator<Item = (MemberRecord, Duration)> {
         let columns = self.addresses.iter().zip(&self.incarnations);
-        columns
-            .zip(&self.states)
-            .filter_map(|((&address, &incarnation), &state)| {
+        columns.zip(&self.states).enumerate().filter_map(
+            |(index, ((&address, &incarnation), &state))| {
                 let stage = match state & 3 {
                     1 => MemberStage::Booting,
                     2 => MemberStage::Serving,
@@ -59,9 +62,13 @@
                     address: Ipv4Addr::from_bits(address),
                     incarnation: IncarnationId(incarnation),
                     stage,
+                    data_center: DataCenterTag(
+                        self.data_centers.get(index).map_or(0, |&tag| tag as u16),
+                    ),
                 };
                 Some((record, Duration::from_millis((state >> 2).into())))
-            })
+            },
+        )
     }
 }
 
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -135,6 +135,24 @@
     }
 }
 
+/// A shortened hash of a data centre's identifier, which takes two bytes in a message. Two data
+/// centres with the same tag are treated as one.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct DataCenterTag(pub u16);
+
+impl From<&DataCenterId> for DataCenterTag {
+    fn from(id: &DataCenterId) -> Self {
+        const TAG_BITS: u32 = 14;
+        Self((id.key().0 & ((1 << TAG_BITS) - 1)) as u16)
+    }
+}
+
+impl fmt::Display for DataCenterTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:04x}", self.0)
+    }
+}
+
 /// The revision of a configuration; a higher one is newer.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,6 +9,7 @@
 pub mod fair_queue;
 pub mod latest_loads;
 pub mod load_bound;
+pub mod locate_choice;
 pub mod placement;
 pub mod prompt_load;
 pub mod rank_shares;
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -8,7 +8,7 @@
 use hawthornrouter::dialect::LoadReport;
 use hawthornrouter::fleet::member_table::{GOSSIP_PERIOD, MemberRecord, MemberStage, MemberTable};
 use hawthornrouter::gossip::frames::{HeartbeatFrame, LoadColumns, MemberColumns};
-use hawthornrouter::ids::IncarnationId;
+use hawthornrouter::ids::{DataCenterTag, IncarnationId};
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::{LatestLoads, UpstreamLoad, UpstreamTag};
 use prost::Message;
@@ -43,6 +43,7 @@
             address: address(index),
             incarnation: IncarnationId(self.rng.random()),
             stage: MemberStage::Serving,
+            data_center: DataCenterTag(0x3fff),
         };
         // No router runs at the first seed.
         let seeds = vec![address(250), address(1), address(2)];
