--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -2,9 +2,11 @@
 //! upstreams), and the detection of pauses, after which that state may be outdated.
 
 pub mod config_state;
+pub mod fetch_plan;
 pub mod member_table;
 pub mod pause_detector;
 pub mod peer_view;
+pub mod store_role;
 pub mod store_view;
 pub mod upstream_entry;
 pub mod upstream_view;
--- a/src/fleet/member_table.rs
+++ b/src/fleet/member_table.rs
@@ -20,6 +20,11 @@
 /// Number of known members that receive a heartbeat in one round.
 pub const ROUND_FANOUT: usize = 3;
 
+/// Number of members that a router informs at once of a change that it has learned of. With four,
+/// all but a few members of a data centre hear of it within some round trips, and these few with
+/// the next heartbeats.
+const NOTICE_FANOUT: usize = 4;
+
 /// Number of records of other members in one heartbeat. More would exceed the budget of 5 KB/s that
 /// a router has for control traffic.
 const FRAME_RECORDS: usize = 13;
@@ -228,6 +233,27 @@
         Some(live[rng.random_range(0..live.len())])
     }
 
+    /// Data centre of a member, if it is known.
+    pub fn data_center(&self, address: Ipv4Addr) -> Option<DataCenterTag> {
+        self.views.get(&address).map(|view| view.record.data_center)
+    }
+
+    /// Up to [`NOTICE_FANOUT`] live members of this router's data centre, drawn at random, to inform
+    /// at once of a change.
+    pub fn notice_targets<R: Rng>(&self, now: MonoTime, rng: &mut R) -> Vec<Ipv4Addr> {
+        let limit = self.down_after();
+        let local: Vec<Ipv4Addr> = self
+            .views
+            .iter()
+            .filter(|(_, view)| {
+                view.record.data_center == self.own.data_center
+                    && now.since(view.last_heard) <= limit
+            })
+            .map(|(&address, _)| address)
+            .collect();
+        local.sample(rng, NOTICE_FANOUT).copied().collect()
+    }
+
     /// Whether a heartbeat of the member was received within the time limit.
     pub fn is_live(&self, address: Ipv4Addr, now: MonoTime) -> bool {
         let limit = self.down_after();
--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -3,7 +3,7 @@
 //! Each document carries the store's revision of its last change, so copies from any source are
 //! merged by taking the newer revision.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -133,6 +133,9 @@
     revision: StoreRevision,
     config: Option<CachedConfig>,
     entries: BTreeMap<String, CachedEntry>,
+    /// Highest revision of a removal that was discarded. Changes since an earlier revision are no
+    /// longer complete.
+    discarded: StoreRevision,
     last_failure: Option<MonoTime>,
     recovered: Option<MonoTime>,
 }
@@ -145,6 +148,7 @@
             revision: StoreRevision::default(),
             config: None,
             entries: BTreeMap::new(),
+            discarded: StoreRevision::default(),
             last_failure: None,
             recovered: None,
         }
@@ -219,6 +223,67 @@
         }
     }
 
+    /// Merges changes that the store reported, which are complete up to `revision`.
+    pub fn merge_changes(
+        &mut self,
+        changes: Vec<StoreChange>,
+        revision: StoreRevision,
+        now: MonoTime,
+    ) -> MergeEffect {
+        let mut effect = MergeEffect::default();
+        for change in changes {
+            effect.join(self.merge_change(change, now));
+        }
+        self.advance(revision);
+        effect
+    }
+
+    /// Merges documents of the store before all of them were read.
+    pub fn merge_page(&mut self, items: Vec<StoreItem>) -> MergeEffect {
+        let mut effect = MergeEffect::default();
+        for item in items {
+            effect.join(self.write(item));
+        }
+        effect
+    }
+
+    /// Merges all documents of a peer, which together are complete up to `revision`. Entries that
+    /// are not among them were removed, but for those that this router knows from later revisions.
+    pub fn merge_peer_snapshot(
+        &mut self,
+        changes: Vec<StoreChange>,
+        revision: StoreRevision,
+        now: MonoTime,
+    ) -> MergeEffect {
+        let listed: BTreeSet<&str> = changes
+            .iter()
+            .map(|change| match change {
+                StoreChange::Written(item) => item.key.as_str(),
+                StoreChange::Removed { key, .. } => key.as_str(),
+            })
+            .collect();
+        let missing = self.present_except(&listed, revision);
+        let mut effect = self.merge_peer(changes, revision, now);
+        for key in missing {
+            effect.join(self.remove(&key, revision, Duration::ZERO, now));
+        }
+        self.discarded = self.discarded.max(revision);
+        effect
+    }
+
+    /// Keys of the registered entries that are not newer than `revision` and not among `listed`.
+    fn present_except(&self, listed: &BTreeSet<&str>, revision: StoreRevision) -> Vec<String> {
+        self.entries
+            .iter()
+            .filter(|(key, cached)| {
+                cached.revision <= revision
+                    && matches!(cached.state, EntryState::Present(..))
+                    && !listed.contains(key.as_str())
+            })
+            .map(|(key, _)| key.clone())
+            .collect()
+    }
+
     /// Merges changes from a peer, which together are complete up to `revision`.
     pub fn merge_peer(
         &mut self,
@@ -245,22 +310,16 @@
     pub fn merge_snapshot(&mut self, snapshot: StoreSnapshot, now: MonoTime) -> MergeEffect {
         let mut effect = MergeEffect::default();
         let grace = self.expiry_grace(now);
-        let missing: Vec<String> = self
-            .entries
-            .iter()
-            .filter(|(key, cached)| {
-                cached.revision <= snapshot.revision
-                    && matches!(cached.state, EntryState::Present(..))
-                    && !snapshot.items.iter().any(|item| item.key == **key)
-            })
-            .map(|(key, _)| key.clone())
-            .collect();
+        let listed: BTreeSet<&str> = snapshot.items.iter().map(|i| i.key.as_str()).collect();
+        let missing = self.present_except(&listed, snapshot.revision);
         for item in snapshot.items {
             effect.join(self.write(item));
         }
         for key in missing {
             effect.join(self.remove(&key, snapshot.revision, grace, now));
         }
+        // What was written and removed again since the last revision is unknown.
+        self.discarded = self.discarded.max(snapshot.revision);
         self.advance(snapshot.revision);
         effect
     }
@@ -279,15 +338,24 @@
                 effect.upstreams = true;
             }
         }
+        let discarded = &mut self.discarded;
         self.entries.retain(|_, cached| {
-            !matches!(cached.state, EntryState::Removed(at) if now.since(at) > REMOVAL_RETENTION)
+            let outdated = matches!(cached.state, EntryState::Removed(at) if now.since(at) > REMOVAL_RETENTION);
+            if outdated {
+                *discarded = (*discarded).max(cached.revision);
+            }
+            !outdated
         });
         effect
     }
 
-    /// The changes after `since`, for a peer that has merged everything up to it. Removals older
-    /// than `REMOVAL_RETENTION` are not included, so a peer whose view is older retains such
-    /// entries until it reads the store or excludes the upstreams because they don't respond.
+    /// Whether [`StoreView::changes_since`] returns every change after `since`. Removals older than
+    /// `REMOVAL_RETENTION` are not retained.
+    pub fn has_changes_since(&self, since: StoreRevision) -> bool {
+        since >= self.discarded
+    }
+
+    /// The changes after `since`, for a peer that has merged everything up to it.
     pub fn changes_since(&self, since: StoreRevision, now: MonoTime) -> Vec<StoreChange> {
         let newer = self
             .entries
@@ -407,6 +475,10 @@
         now: MonoTime,
     ) -> MergeEffect {
         let Some(cached) = self.entries.get_mut(key) else {
+            // Retained for peers that know the entry.
+            let state = EntryState::Removed(now);
+            self.entries
+                .insert(key.to_owned(), CachedEntry { revision, state });
             return MergeEffect::default();
         };
         if cached.revision >= revision {
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -355,7 +355,7 @@
     /// Returns the milliseconds since the store last responded, which is the age of the last known
     /// list of upstreams.
     pub fn store_age_ms(&self) -> u64 {
-        let last_response_ms = self.board.store_responded_ms.load(Ordering::Relaxed);
+        let last_response_ms = self.board.store_known_ms.load(Ordering::Relaxed);
         (self.now().0.as_millis() as u64).saturating_sub(last_response_ms)
     }
 
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -51,8 +51,9 @@
     pub serving_routers: ArcSwap<Vec<RouterPlace>>,
     /// Upper estimate of the number of routers.
     pub fleet_size: AtomicUsize,
-    /// When the store last responded, in milliseconds of the process's clock; 0 before that.
-    pub store_responded_ms: AtomicU64,
+    /// Time up to which this router has all changes of the store, in milliseconds of the process's
+    /// clock; 0 before the first read.
+    pub store_known_ms: AtomicU64,
     /// Calls in progress; written by the traffic thread.
     pub calls: AtomicUsize,
     load_reports: Mutex<LatestLoads>,
@@ -68,7 +69,7 @@
             upstreams: ArcSwap::default(),
             serving_routers: ArcSwap::default(),
             fleet_size: AtomicUsize::new(1),
-            store_responded_ms: AtomicU64::new(0),
+            store_known_ms: AtomicU64::new(0),
             calls: AtomicUsize::new(0),
             load_reports: Mutex::default(),
             stage: AtomicU8::new(ForwardStage::Booting as u8),
--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -7,10 +7,12 @@
 use std::cell::RefCell;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use rand::RngExt;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::time::MissedTickBehavior;
 
@@ -30,6 +32,10 @@
 /// Size of the receive buffer of heartbeats.
 const DATAGRAM_BYTES: usize = 4096;
 
+/// Number of document requests that are answered at the same time. All documents of a large fleet
+/// are about a megabyte, and the link of a small VM carries three a second.
+const MAX_DOCUMENT_EXCHANGES: usize = 8;
+
 /// Where the settings are read from, at the start and at each reload.
 pub trait SettingsSource: Send + 'static {
     /// Reads the settings from their file.
@@ -102,6 +108,8 @@
             }
             _ = ticks.tick() => {
                 let round = state.borrow_mut().tick();
+                // The store task owns the receiver and runs until this loop has ended.
+                let _ = round.store_command.map(|command| commands.send(command));
                 if round.paused {
                     let _ = commands.send(StoreCommand::Restart);
                 }
@@ -118,6 +126,10 @@
             _ = interrupt.recv() => stop(&gossip, &state).await,
             _ = hangup.recv() => state.borrow_mut().reload(&start.settings, "signal"),
         }
+        let notice = state.borrow_mut().take_notice();
+        if let Some((frame, targets)) = notice {
+            send_frame(&gossip, &frame, &targets).await;
+        }
         let request = state.borrow_mut().next_fetch();
         if let Some((peer, request)) = request {
             let response_sender = response_sender.clone();
@@ -155,8 +167,12 @@
         return;
     }
     let frame = state.borrow().encode_heartbeat();
+    send_frame(gossip, &frame, targets).await;
+}
+
+async fn send_frame(gossip: &UdpSocket, frame: &[u8], targets: &[SocketAddr]) {
     for target in targets {
-        if let Err(error) = gossip.send_to(&frame, target).await {
+        if let Err(error) = gossip.send_to(frame, target).await {
             spdlog::debug!("heartbeat-unsent", kv: { peer: = target, reason: = error });
         }
     }
@@ -167,11 +183,17 @@
     listener: TcpListener,
     state: Rc<RefCell<ControlState<C>>>,
 ) {
+    let permits = Arc::new(Semaphore::new(MAX_DOCUMENT_EXCHANGES));
     loop {
         match listener.accept().await {
             Ok((socket, peer)) => {
+                // The peer gets the documents from another router.
+                let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                    continue;
+                };
                 let state = Rc::clone(&state);
                 tokio::task::spawn_local(async move {
+                    let _permit = permit;
                     let respond = |request| state.borrow().respond(request);
                     if let Err(error) = serve_document_request(socket, respond).await {
                         spdlog::info!("peer-question-failed", kv: {
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -10,17 +10,18 @@
 
 use prost::Message;
 
+use crate::fleet::fetch_plan::FetchPlan;
 use crate::fleet::member_table::{MemberRecord, MemberStage, MemberTable};
+use crate::fleet::store_role::StoreRole;
 use crate::fleet::store_view::{DocumentCodec, MergeEffect, StoreRevision, StoreView};
 use crate::forward_board::{ForwardBoard, ForwardStage};
 use crate::forward_control::SettingsSource;
-use crate::forward_control::store_task::StoreEvent;
+use crate::forward_control::store_task::{StoreCommand, StoreEvent};
 use crate::forward_settings::ForwardSettings;
 use crate::gossip::frames::{HeartbeatFrame, LoadColumns, MemberColumns};
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::locate_choice::RouterPlace;
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
-use crate::route::ConfigVersion;
 
 /// Time between two ticks above which the process counts as paused: its cached state is then older
 /// than its timestamps suggest.
@@ -51,15 +52,13 @@
     telemetry: PrometheusMetrics,
     store_view: StoreView<C>,
     members: MemberTable,
-    /// When the store last responded; `None` before that and after a pause of the process.
-    store_responded: Option<MonoTime>,
+    store_role: StoreRole,
+    fetch_plan: FetchPlan,
+    /// When the store last delivered anything, or when the process started.
+    store_active: MonoTime,
     store_unreachable: bool,
-    /// Since when a peer has a newer configuration than this router.
-    config_behind_since: Option<MonoTime>,
-    /// The peer with the newest documents, with its configuration version and store revision.
-    /// `None` while no peer is ahead of this router.
-    newest_peer: Option<(Ipv4Addr, ConfigVersion, StoreRevision)>,
-    fetching: bool,
+    /// Revision that the last notice to peers announced.
+    noticed: StoreRevision,
     stop_requested: Option<MonoTime>,
     last_tick: MonoTime,
     ticks: u64,
@@ -72,6 +71,8 @@
     pub targets: Vec<SocketAddr>,
     /// Whether the process was paused before this tick.
     pub paused: bool,
+    /// What the task that follows the store has to do.
+    pub store_command: Option<StoreCommand>,
     /// Whether the settings file is to be read again.
     pub read_settings: bool,
     /// Whether the router has stopped and the loop is to end.
@@ -82,18 +83,20 @@
     /// Creates the state with this router's own record `own` and the seeds from the settings.
     pub fn new(codec: C, parts: ControlParts, own: MemberRecord) -> Self {
         let now = parts.clock.now();
-        let seeds = parts.board.settings.load().seeds.clone();
+        let settings = parts.board.settings.load_full();
+        let seeds = settings.seeds.clone();
+        let apply_limit = settings.apply_limit;
         Self {
             board: parts.board,
             clock: parts.clock,
             telemetry: parts.telemetry,
             store_view: StoreView::new(codec),
             members: MemberTable::new(own, seeds),
-            store_responded: None,
+            store_role: StoreRole::new(apply_limit),
+            fetch_plan: FetchPlan::default(),
+            store_active: now,
             store_unreachable: false,
-            config_behind_since: None,
-            newest_peer: None,
-            fetching: false,
+            noticed: StoreRevision::default(),
             stop_requested: None,
             last_tick: now,
             ticks: 0,
@@ -119,19 +122,46 @@
     /// Encodes a heartbeat with the current state.
     pub fn encode_heartbeat(&self) -> Vec<u8> {
         let now = self.now();
-        let mut members = MemberColumns::default();
-        members.push(&self.members.own(), Duration::ZERO);
-        for (record, age) in self.members.frame_records(now, &mut rand::rng()) {
-            members.push(&record, age);
+        let mut frame = self.notice_frame(now);
+        if let Some(members) = &mut frame.members {
+            for (record, age) in self.members.frame_records(now, &mut rand::rng()) {
+                members.push(&record, age);
+            }
         }
         let reports = self.board.load_reports().busiest(now);
-        let frame = HeartbeatFrame {
+        frame.loads = Some(LoadColumns::new(&reports, now));
+        frame.encode_to_vec()
+    }
+
+    /// A heartbeat without records of other members and without loads.
+    fn notice_frame(&self, now: MonoTime) -> HeartbeatFrame {
+        let mut members = MemberColumns::default();
+        members.push(&self.members.own(), Duration::ZERO);
+        let age = self.store_role.age(now);
+        HeartbeatFrame {
             members: Some(members),
             config_version: self.store_view.config_version().0,
             store_revision: self.store_view.revision().0,
-            loads: Some(LoadColumns::new(&reports, now)),
-        };
-        frame.encode_to_vec()
+            loads: None,
+            store_age_ms: age.map(|age| age.as_millis() as u64),
+        }
+    }
+
+    /// Returns a notice of changes that no notice has announced yet, and the addresses to send it
+    /// to.
+    pub fn take_notice(&mut self) -> Option<(Vec<u8>, Vec<SocketAddr>)> {
+        let revision = self.store_view.revision();
+        if revision <= self.noticed {
+            return None;
+        }
+        self.noticed = revision;
+        let now = self.now();
+        let targets = self.members.notice_targets(now, &mut rand::rng());
+        let targets = targets
+            .into_iter()
+            .map(|address| self.gossip_address(address))
+            .collect();
+        Some((self.notice_frame(now).encode_to_vec(), targets))
     }
 
     /// Merges a heartbeat. Returns true if the sender was not a live member before, so that a
@@ -161,7 +191,11 @@
             });
             self.publish_members(now);
         }
-        self.record_newer_peer(sender.address, &frame, now);
+        if let Some(report) = frame.store_report() {
+            let revision = self.store_view.revision();
+            self.store_role.record_report(report, revision, now);
+        }
+        self.record_newer_peer(&sender, &frame);
         new
     }
 
@@ -169,6 +203,10 @@
     pub fn merge_store_event(&mut self, event: StoreEvent) {
         let now = self.now();
         let effect = match event {
+            StoreEvent::Page(items) => {
+                self.store_active = now;
+                self.store_view.merge_page(items)
+            }
             StoreEvent::Snapshot(snapshot) => {
                 self.record_store_response(now);
                 spdlog::info!("store-read", kv: {
@@ -178,14 +216,8 @@
             }
             StoreEvent::Changes(update) => {
                 self.record_store_response(now);
-                let mut effect = MergeEffect::default();
-                for change in update.changes {
-                    let one = self.store_view.merge_change(change, now);
-                    effect.config |= one.config;
-                    effect.upstreams |= one.upstreams;
-                }
-                self.store_view.advance(update.revision);
-                effect
+                self.store_view
+                    .merge_changes(update.changes, update.revision, now)
             }
             StoreEvent::HistoryLost => {
                 spdlog::warn!("store-history-lost", kv: {
@@ -208,10 +240,11 @@
     }
 
     fn record_store_response(&mut self, now: MonoTime) {
-        self.store_responded = Some(now);
+        self.store_active = now;
+        self.store_role.record_read(now);
         let responded = now.0.as_millis() as u64;
         self.board
-            .store_responded_ms
+            .store_known_ms
             .store(responded, Ordering::Relaxed);
         self.store_view.store_responded(now);
         if std::mem::take(&mut self.store_unreachable) {
@@ -289,7 +322,7 @@
         let paused = elapsed > PAUSE_THRESHOLD;
         if paused {
             spdlog::warn!("paused", kv: { ms: = elapsed.as_millis() });
-            self.store_responded = None;
+            self.store_role.forget();
             self.store_view.store_failed(now);
         }
         let effect = self.store_view.tick(now);
@@ -298,7 +331,13 @@
         self.publish_members(now);
         let calls = self.board.calls.load(Ordering::Relaxed);
         self.record_metrics(now, calls);
+        let known = (now.since(MonoTime::default()))
+            .saturating_sub(self.store_role.age(now).unwrap_or(now.0));
+        self.board
+            .store_known_ms
+            .store(known.as_millis() as u64, Ordering::Relaxed);
         TickRound {
+            store_command: self.update_role(now),
             targets: targets
                 .into_iter()
                 .map(|address| self.gossip_address(address))
@@ -309,6 +348,28 @@
         }
     }
 
+    /// Decides again whether this router reads the store. A booting router always does.
+    fn update_role(&mut self, now: MonoTime) -> Option<StoreCommand> {
+        if self.board.stage() == ForwardStage::Booting
+            || self.store_view.revision() == StoreRevision::default()
+            || !self.store_role.update(&self.members, now)
+        {
+            return None;
+        }
+        let reading = self.store_role.is_reading();
+        let age = self.store_role.age(now).unwrap_or(now.0);
+        spdlog::info!("store-role", kv: {
+            reading: = reading, age_ms: = age.as_millis(),
+            revision: = self.store_view.revision(), routers: = self.members.live(now).len()
+        });
+        if reading {
+            self.store_active = now;
+            return Some(StoreCommand::FollowFrom(self.store_view.revision()));
+        }
+        self.store_unreachable = false;
+        Some(StoreCommand::Suspend)
+    }
+
     fn record_metrics(&self, now: MonoTime, calls: usize) {
         let telemetry = &self.telemetry;
         set_count(
@@ -316,10 +377,12 @@
             self.store_view.config_version().0,
         );
         set_count(&telemetry.store_revision, self.store_view.revision().0);
-        let age = self
-            .store_responded
-            .map_or(now.0, |responded| now.since(responded));
+        let age = self.store_role.age(now).unwrap_or(now.0);
         set_count(&telemetry.store_age_ms, age.as_millis());
+        set_count(
+            &telemetry.store_reader,
+            u8::from(self.store_role.is_reading()),
+        );
         set_count(&telemetry.upstreams, self.board.upstreams.load().len());
         set_count(&telemetry.calls_open, calls);
     }
@@ -361,12 +424,14 @@
             seeds: settings.seeds,
             affinity_bound: settings.affinity_bound,
             retry: settings.retry,
+            apply_limit: settings.apply_limit,
             stop_grace: settings.stop_grace,
             locate_ttl: settings.locate_ttl,
             ..(*before).clone()
         };
         spdlog::info!("settings-reloaded", kv: { cause: = cause });
         self.members.set_seeds(settings.seeds.clone());
+        self.store_role.set_apply_limit(settings.apply_limit);
         self.board.settings.store(Arc::new(settings));
     }
 }
--- a/src/forward_control/control_state/peer_documents.rs
+++ b/src/forward_control/control_state/peer_documents.rs
@@ -1,77 +1,51 @@
 //! Fetching documents from peers while the store does not deliver them.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
-use std::time::Duration;
+use std::net::SocketAddrV4;
 
 use super::ControlState;
 use crate::error::RouterResult;
+use crate::fleet::fetch_plan::{DocumentState, FetchContext};
+use crate::fleet::member_table::MemberRecord;
 use crate::fleet::store_view::{DocumentCodec, StoreChange, StoreItem, StoreRevision};
 use crate::forward_board::ForwardStage;
 use crate::gossip::frames::{DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame};
-use crate::mono::MonoTime;
 use crate::route::ConfigVersion;
 
-/// How long the store has to deliver a newer configuration before it is requested from a peer.
-const PEER_CONFIG_WAIT: Duration = Duration::from_millis(300);
-
-/// Time without a response of the store after which changes of upstreams are requested from a peer.
-const PEER_ENTRY_WAIT: Duration = Duration::from_millis(800);
-
 impl<C: DocumentCodec> ControlState<C> {
-    /// Records the sender of a heartbeat if it has newer documents than this router and than the
-    /// peer recorded so far.
-    pub(super) fn record_newer_peer(
-        &mut self,
-        peer: Ipv4Addr,
-        frame: &HeartbeatFrame,
-        now: MonoTime,
-    ) {
-        let version = ConfigVersion(frame.config_version);
-        let revision = StoreRevision(frame.store_revision);
-        if version > self.store_view.config_version() {
-            self.config_behind_since.get_or_insert(now);
-        }
-        let newest = self
-            .newest_peer
-            .is_none_or(|(_, known, at)| version > known || (version == known && revision > at));
-        let newer =
-            version > self.store_view.config_version() || revision > self.store_view.revision();
-        if newer && newest {
-            self.newest_peer = Some((peer, version, revision));
+    fn fetch_context(&self) -> FetchContext {
+        FetchContext {
+            now: self.now(),
+            own: DocumentState {
+                version: self.store_view.config_version(),
+                revision: self.store_view.revision(),
+            },
+            booting: self.board.stage() == ForwardStage::Booting,
+            reading: self.store_role.is_reading(),
+            store_failed: self.store_unreachable,
+            store_active: self.store_active,
         }
     }
 
-    /// Returns the peer to request documents from, and the request, if one is due: a booting router
-    /// requests them at once, any other one after the store had time to deliver them. `None` while
-    /// another request is in progress.
+    /// Records what the sender of a heartbeat has.
+    pub(super) fn record_newer_peer(&mut self, peer: &MemberRecord, frame: &HeartbeatFrame) {
+        let state = DocumentState {
+            version: ConfigVersion(frame.config_version),
+            revision: StoreRevision(frame.store_revision),
+        };
+        let is_local = peer.data_center == self.members.own().data_center;
+        let context = self.fetch_context();
+        self.fetch_plan
+            .record_peer(peer.address, is_local, state, context);
+    }
+
+    /// Returns the peer to request documents from, and the request, if one is due.
     pub fn next_fetch(&mut self) -> Option<(SocketAddrV4, DocumentRequest)> {
-        let now = self.now();
-        let (peer, version, revision) = self.newest_peer?;
-        let own_version = self.store_view.config_version();
-        if version <= own_version {
-            self.config_behind_since = None;
-        }
-        if version <= own_version && revision <= self.store_view.revision() {
-            self.newest_peer = None;
-            return None;
-        }
-        let late_config = version > own_version
-            && self
-                .config_behind_since
-                .is_some_and(|since| now.since(since) >= PEER_CONFIG_WAIT);
-        let silent = self
-            .store_responded
-            .is_none_or(|responded| now.since(responded) >= PEER_ENTRY_WAIT);
-        let booting = self.board.stage() == ForwardStage::Booting;
-        if self.fetching || !(late_config || (silent && self.store_unreachable) || booting) {
-            return None;
-        }
-        self.fetching = true;
-        self.newest_peer = None;
+        let context = self.fetch_context();
+        let peer = self.fetch_plan.next_fetch(context)?;
         let port = self.board.settings.load().control.port();
         let request = DocumentRequest {
-            config_version: own_version.0,
-            store_revision: self.store_view.revision().0,
+            config_version: context.own.version.0,
+            store_revision: context.own.revision.0,
         };
         Some((SocketAddrV4::new(peer, port), request))
     }
@@ -80,6 +54,12 @@
     pub fn respond(&self, request: DocumentRequest) -> DocumentResponse {
         let now = self.now();
         let since = StoreRevision(request.store_revision);
+        let full = !self.store_view.has_changes_since(since);
+        let since = if full {
+            StoreRevision::default()
+        } else {
+            since
+        };
         let mut documents: Vec<DocumentFrame> = self
             .store_view
             .changes_since(since, now)
@@ -99,18 +79,17 @@
         DocumentResponse {
             documents,
             store_revision: self.store_view.revision().0,
+            full,
         }
     }
 
-    /// Merges the response of a peer. Returns the revision of the store up to which this router now
-    /// has all documents, if the response was complete. Peers discard removals after some time, so
-    /// a response is complete only for a router that had no documents before.
+    /// Merges the response of a peer. Returns the revision up to which this router now has all
+    /// documents, if it had none before.
     pub fn merge_response(
         &mut self,
         peer: SocketAddrV4,
         response: RouterResult<DocumentResponse>,
     ) -> Option<StoreRevision> {
-        self.fetching = false;
         let now = self.now();
         match response {
             Ok(response) => {
@@ -122,7 +101,13 @@
                     .into_iter()
                     .map(StoreChange::from)
                     .collect();
-                let effect = self.store_view.merge_peer(changes, revision, now);
+                self.fetch_plan
+                    .end_fetch(revision > self.store_view.revision(), now);
+                let effect = if response.full {
+                    self.store_view.merge_peer_snapshot(changes, revision, now)
+                } else {
+                    self.store_view.merge_peer(changes, revision, now)
+                };
                 spdlog::info!("documents-from-peer", kv: {
                     peer: = peer, documents: = count, revision: = revision,
                     version: = self.store_view.config_version()
@@ -131,6 +116,7 @@
                 was_empty.then_some(revision)
             }
             Err(error) => {
+                self.fetch_plan.end_fetch(false, now);
                 spdlog::warn!("documents-missed", kv: { reason: = error });
                 None
             }
--- a/src/forward_control/store_task.rs
+++ b/src/forward_control/store_task.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
-use crate::fleet::store_view::{StoreRevision, StoreSnapshot};
+use crate::fleet::store_view::{StoreItem, StoreRevision, StoreSnapshot};
 use crate::store_source::{StoreChanges, StoreFault, StoreSource};
 
 /// Longest wait after the first failure; it doubles with each further one, up to [`MAX_BACKOFF`].
@@ -16,6 +16,15 @@
 /// reachable again.
 const MAX_BACKOFF: Duration = Duration::from_millis(600);
 
+/// How long the store may delay its response to a watch request if there are no changes. An
+/// overdue response reveals a connection on which the store no longer responds; the delay is short
+/// because a change must apply within two seconds after the store accepted it.
+const WATCH_WAIT: Duration = Duration::from_millis(1500);
+
+/// Shortest wait, as a share of [`WATCH_WAIT`]. A change ends the waits of all readers together;
+/// with different waits they tell the others at different times that nothing has changed.
+const MIN_WAIT_SHARE: f64 = 0.6;
+
 /// Wait after changes, so that a burst of changes takes few requests. Together with the response
 /// time of a slow store, a quarter of a second, it stays well below the two seconds within which a
 /// change must be in force.
@@ -28,6 +37,8 @@
 /// What the task reports to the control thread.
 #[derive(Debug)]
 pub enum StoreEvent {
+    /// A page was read, and more pages follow.
+    Page(Vec<StoreItem>),
     /// All documents were read.
     Snapshot(StoreSnapshot),
     /// The store reported changes, or none within its waiting time.
@@ -44,9 +55,13 @@
     /// Drops the pending request and reads all documents again. Sent after a pause of the process,
     /// because a request from before it may never get a response.
     Restart,
-    /// Watches for changes after this revision. Sent to a router without documents once a peer has
-    /// delivered all of them up to this revision.
+    /// Watches for changes after this revision, unless a watch is in progress. Sent to a router
+    /// without documents once a peer has delivered all of them up to this revision, and to a router
+    /// that begins to read the store.
     FollowFrom(StoreRevision),
+    /// Drops the pending request and sends no more until the next command. Sent to a router that
+    /// leaves the reading to its peers.
+    Suspend,
 }
 
 /// Progress of reading the store.
@@ -56,6 +71,8 @@
     Reading(StoreSnapshot),
     /// Watches for changes; all changes up to this revision have been received.
     Following(StoreRevision),
+    /// Sends no requests.
+    Suspended,
 }
 
 impl StorePosition {
@@ -67,21 +84,24 @@
         match command {
             StoreCommand::Restart => Self::start(),
             StoreCommand::FollowFrom(revision) => Self::Following(revision),
+            StoreCommand::Suspend => Self::Suspended,
         }
     }
 
-    /// Sends the next request. Returns `None` while more pages follow. Pages that were read are
+    /// Sends the next request. Pages that were read are
     /// retained after a failure: if many routers start at once on an overloaded store, a router
     /// that started again from the first page might never read all of them.
     async fn request_next<S: StoreSource>(
         &mut self,
         source: &mut S,
-    ) -> Result<Option<StoreEvent>, StoreFault> {
+    ) -> Result<StoreEvent, StoreFault> {
         match self {
+            Self::Suspended => std::future::pending().await,
             Self::Following(revision) => {
-                let update = source.watch(*revision).await?;
+                let wait = WATCH_WAIT.mul_f64(rand::rng().random_range(MIN_WAIT_SHARE..1.0));
+                let update = source.watch(*revision, wait).await?;
                 *revision = update.revision.max(*revision);
-                Ok(Some(StoreEvent::Changes(update)))
+                Ok(StoreEvent::Changes(update))
             }
             Self::Reading(snapshot) => {
                 let after = snapshot.items.last().map_or("", |item| item.key.as_str());
@@ -92,13 +112,14 @@
                     snapshot.revision = page.revision;
                 }
                 let more = page.more && !page.items.is_empty();
-                snapshot.items.extend(page.items);
                 if more {
-                    return Ok(None);
+                    snapshot.items.extend(page.items.iter().cloned());
+                    return Ok(StoreEvent::Page(page.items));
                 }
+                snapshot.items.extend(page.items);
                 let snapshot = std::mem::take(snapshot);
                 *self = Self::Following(snapshot.revision);
-                Ok(Some(StoreEvent::Snapshot(snapshot)))
+                Ok(StoreEvent::Snapshot(snapshot))
             }
         }
     }
@@ -113,7 +134,7 @@
     let mut position = StorePosition::start();
     let mut backoff = INITIAL_BACKOFF;
     loop {
-        let reading = matches!(position, StorePosition::Reading(_));
+        let following = matches!(position, StorePosition::Following(_));
         let outcome = {
             let mut request = pin!(position.request_next(&mut source));
             loop {
@@ -121,7 +142,7 @@
                     result = &mut request => break Ok(result),
                     command = commands.recv() => match command {
                         // The pending watch request delivers all later changes anyway.
-                        Some(StoreCommand::FollowFrom(_)) if !reading => {}
+                        Some(StoreCommand::FollowFrom(_)) if following => {}
                         Some(command) => break Err(command),
                         None => return,
                     }
@@ -135,8 +156,7 @@
             }
             Ok(Ok(event)) => {
                 backoff = INITIAL_BACKOFF;
-                let changed =
-                    matches!(&event, Some(StoreEvent::Changes(new)) if !new.changes.is_empty());
+                let changed = matches!(&event, StoreEvent::Changes(new) if !new.changes.is_empty());
                 (
                     event,
                     if changed {
@@ -148,17 +168,15 @@
             }
             Ok(Err(StoreFault::HistoryLost)) => {
                 position = StorePosition::start();
-                (Some(StoreEvent::HistoryLost), REREAD_DELAY)
+                (StoreEvent::HistoryLost, REREAD_DELAY)
             }
             Ok(Err(StoreFault::Failed(error))) => {
                 let pause = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
                 backoff = (backoff * 2).min(MAX_BACKOFF);
-                (Some(StoreEvent::Failed(error)), pause)
+                (StoreEvent::Failed(error), pause)
             }
         };
-        if let Some(event) = event
-            && events.send(event).is_err()
-        {
+        if events.send(event).is_err() {
             return;
         }
         if !pause.is_zero() {
--- a/src/forward_settings.rs
+++ b/src/forward_settings.rs
@@ -36,6 +36,8 @@
     pub affinity_bound: AffinityBound,
     /// Limits on retries, shared by all routers.
     pub retry: RetryTerms,
+    /// Time within which a change in the store must apply.
+    pub apply_limit: Duration,
     /// Time between the stop signal and the forced end of the process.
     pub stop_grace: Duration,
     /// Longest time for which callers may cache a locate response.
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -9,6 +9,7 @@
 
 use crate::dialect::LoadReport;
 use crate::fleet::member_table::{MemberRecord, MemberStage};
+use crate::fleet::store_role::StoreReport;
 use crate::fleet::store_view::{StoreChange, StoreItem, StoreRevision};
 use crate::ids::{DataCenterTag, IncarnationId};
 use crate::mono::MonoTime;
@@ -135,6 +136,20 @@
     /// Loads of the busiest upstreams.
     #[prost(message, optional, tag = "4")]
     pub loads: Option<LoadColumns>,
+    /// Milliseconds since the store had no newer revision than `store_revision`; `None` if the
+    /// sender doesn't know, or is of an earlier version.
+    #[prost(uint64, optional, tag = "5")]
+    pub store_age_ms: Option<u64>,
+}
+
+impl HeartbeatFrame {
+    /// The sender's report of the store's newest revision, if it has one.
+    pub fn store_report(&self) -> Option<StoreReport> {
+        self.store_age_ms.map(|age_ms| StoreReport {
+            revision: StoreRevision(self.store_revision),
+            age: Duration::from_millis(age_ms),
+        })
+    }
 }
 
 /// Requests documents that are newer than those of the requesting router.
@@ -174,6 +189,9 @@
     /// Revision of the store up to which the changes are complete.
     #[prost(uint64, tag = "2")]
     pub store_revision: u64,
+    /// Whether the documents are all that the sender has, not only those that changed.
+    #[prost(bool, tag = "3")]
+    pub full: bool,
 }
 
 impl From<StoreChange> for DocumentFrame {
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -33,8 +33,10 @@
     pub config_version: IntGauge,
     /// Revision of the store up to which all changes are known to this router.
     pub store_revision: IntGauge,
-    /// Milliseconds since the last response of the store.
+    /// Milliseconds since the time up to which all changes of the store are known.
     pub store_age_ms: IntGauge,
+    /// Whether this router reads the store itself.
+    pub store_reader: IntGauge,
     /// Number of known upstreams.
     pub upstreams: IntGauge,
     /// Number of routers that are up.
@@ -101,8 +103,9 @@
             )?,
             store_age_ms: gauge(
                 "store_age_ms",
-                "Milliseconds since the last response of the store",
+                "Milliseconds since the time up to which all changes of the store are known",
             )?,
+            store_reader: gauge("store_reader", "Whether this router reads the store itself")?,
             upstreams: gauge("upstreams", "Known upstreams")?,
             routers: gauge("routers", "Routers that are up")?,
             calls_open: gauge("calls_open", "Calls in progress")?,
--- a/src/store_source.rs
+++ b/src/store_source.rs
@@ -1,6 +1,7 @@
 //! Interface to the store that contains the configuration and the entries of upstreams.
 
 use std::fmt;
+use std::time::Duration;
 
 use crate::fleet::store_view::{StoreChange, StoreItem, StoreRevision};
 
@@ -46,9 +47,10 @@
     /// Reads the first documents whose keys are larger than `after`.
     fn page(&mut self, after: &str) -> impl Future<Output = Result<StorePage, StoreFault>>;
 
-    /// Waits for changes after a revision. Returns without changes if there are none for some time.
+    /// Waits for changes after a revision. Returns without changes if there are none within `wait`.
     fn watch(
         &mut self,
         after: StoreRevision,
+        wait: Duration,
     ) -> impl Future<Output = Result<StoreChanges, StoreFault>>;
 }
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -223,6 +223,7 @@
             config_version: 1 << 20,
             store_revision: 1 << 40,
             loads: Some(LoadColumns::new(&loads.busiest(fleet.now), fleet.now)),
+            store_age_ms: Some(10_000),
         };
         // Each round sends three heartbeats to members and sometimes one to a seed, with 28 bytes
         // of UDP and IP headers each.
