Bound what an upstream that sends bytes without end costs a router

Change: bodies share 48 MiB above 64 KiB each; a connection that delivers 1 MiB without a head or a part of a body is closed; four chunks in place of 64 wait for a slow caller.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -3,6 +3,7 @@
 //!
 //! [`EdgeDialect`]: crate::dialect::EdgeDialect
 
+pub mod body_budget;
 mod choice_record;
 pub mod connection_headers;
 mod connection_pool;
--- /dev/null
+++ b/src/forward/body_budget.rs
@@ -0,0 +1,62 @@
+//! Memory for response bodies that are buffered before they are passed on.
+//!
+//! An upstream in trouble may send a body without end. Several of them at once must not use up the
+//! memory of the process, nor the room that other calls need.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Largest body.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// Size up to which a body doesn't count, so that common responses always find room.
+const UNCOUNTED_BYTES: usize = 64 << 10;
+
+/// Sum of all bodies, above what isn't counted. The smallest VM has 260 MB, and a growing buffer
+/// may take twice its content.
+const MAX_TOTAL_BYTES: usize = 48 << 20;
+
+/// The bytes that the bodies of a traffic thread have reserved.
+#[derive(Clone, Debug, Default)]
+pub struct BodyBudget {
+    reserved: Rc<Cell<usize>>,
+}
+
+impl BodyBudget {
+    /// Returns the reservation of an empty body.
+    pub fn open(&self) -> BodyReservation {
+        BodyReservation {
+            budget: self.clone(),
+            counted: 0,
+        }
+    }
+}
+
+/// The part of the budget that one body has reserved; it is returned on drop.
+#[derive(Debug)]
+pub struct BodyReservation {
+    budget: BodyBudget,
+    counted: usize,
+}
+
+impl BodyReservation {
+    /// Extends the reservation to a body of `bytes`. Returns false if the body or the sum of all
+    /// bodies becomes too large.
+    pub fn grow_to(&mut self, bytes: usize) -> bool {
+        let counted = bytes.saturating_sub(UNCOUNTED_BYTES).max(self.counted);
+        let reserved = self.budget.reserved.get() - self.counted + counted;
+        let fits = bytes <= MAX_BODY_BYTES && (counted == 0 || reserved <= MAX_TOTAL_BYTES);
+        if fits {
+            self.budget.reserved.set(reserved);
+            self.counted = counted;
+        }
+        fits
+    }
+}
+
+impl Drop for BodyReservation {
+    fn drop(&mut self) {
+        let reserved = self.budget.reserved.get();
+        self.budget.reserved.set(reserved - self.counted);
+    }
+}
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -25,9 +25,6 @@
 /// accept queue.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Largest response body that is buffered before it is passed on.
-const MAX_BODY_BYTES: usize = 16 << 20;
-
 impl<D: EdgeDialect> FrontCall<D> {
     /// Sends the call to an upstream and reads the full response, or the first events of a stream.
     pub(super) async fn attempt(
@@ -195,11 +192,12 @@
     ) -> Result<Bytes, AttemptFault> {
         let started = self.state.now();
         let mut body = BytesMut::new();
+        let mut reservation = self.state.body_budget.open();
         while let Some(bytes) = self.next_chunk(source, started, limits).await? {
-            body.extend_from_slice(&bytes);
-            if body.len() > MAX_BODY_BYTES {
+            if !reservation.grow_to(body.len() + bytes.len()) {
                 return Err(AttemptFault::BadAnswer);
             }
+            body.extend_from_slice(&bytes);
         }
         Ok(body.freeze())
     }
@@ -220,6 +218,7 @@
                 Some(Err(_)) => return Err(AttemptFault::Broken),
                 Some(Ok(frame)) => {
                     self.state.record_activity(source.guard.key);
+                    source.connection.record_body();
                     // Trailers are not part of the body.
                     if let Ok(bytes) = frame.into_data() {
                         return Ok(Some(bytes));
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -31,8 +31,9 @@
 /// not take them.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Number of stream chunks that are buffered for a slow caller.
-const MAX_BUFFERED_CHUNKS: usize = 64;
+/// Number of stream chunks that are buffered for a slow caller. A chunk has up to 400 KB if the
+/// upstream sends faster than the caller reads.
+const MAX_BUFFERED_CHUNKS: usize = 4;
 
 /// A response that this router generates itself, without an upstream.
 #[derive(Clone, Copy, Debug)]
--- a/src/forward/http_connection.rs
+++ b/src/forward/http_connection.rs
@@ -35,14 +35,29 @@
 
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
-/// Progress of the writes to a socket.
+/// Bytes that may be read without yielding a response head or a part of a body. The HTTP library
+/// limits heads and trailers, but reads interim responses and zeros of a chunk size without end.
+const MAX_UNPARSED_BYTES: usize = 1 << 20;
+
+/// Progress of the writes to a socket and of the reads from it.
 #[derive(Debug, Default)]
-struct WriteProgress {
+struct SocketProgress {
     written: AtomicUsize,
     flushed: AtomicBool,
+    /// Bytes read since the latest request, response head or part of a body.
+    unparsed: AtomicUsize,
 }
 
-impl WriteProgress {
+impl SocketProgress {
+    fn reset_unparsed(&self) {
+        self.unparsed.store(0, Ordering::Relaxed);
+    }
+
+    /// Counts bytes that were read; returns false if there are too many.
+    fn count_read(&self, bytes: usize) -> bool {
+        self.unparsed.fetch_add(bytes, Ordering::Relaxed) + bytes <= MAX_UNPARSED_BYTES
+    }
+
     fn written(&self) -> usize {
         self.written.load(Ordering::Relaxed)
     }
@@ -51,7 +66,7 @@
 /// A socket that counts the bytes written to it.
 struct CountingSocket {
     socket: TcpStream,
-    progress: Arc<WriteProgress>,
+    progress: Arc<SocketProgress>,
 }
 
 impl AsyncRead for CountingSocket {
@@ -60,7 +75,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.socket).poll_read(cx, buf);
+        if !self.progress.count_read(buf.filled().len() - before) {
+            let error = "1 MiB without a response head or a part of a body";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
+        }
+        result
     }
 }
 
@@ -110,7 +131,7 @@
 /// An HTTP/1 connection that carries one call at a time. Dropping it closes the connection.
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
-    progress: Arc<WriteProgress>,
+    progress: Arc<SocketProgress>,
     /// Lower bound of the length of the current request, in bytes: path and body.
     min_request_bytes: usize,
     /// Bytes written on this connection before the current request.
@@ -141,7 +162,7 @@
         if let Err(error) = set_socket_options(&socket) {
             spdlog::debug!("socket-option", kv: { peer: = address, reason: = error });
         }
-        let progress = Arc::new(WriteProgress::default());
+        let progress = Arc::new(SocketProgress::default());
         let socket = CountingSocket {
             socket,
             progress: Arc::clone(&progress),
@@ -179,7 +200,10 @@
     ) -> Result<Response<Incoming>, AttemptFault> {
         self.written_before = self.progress.written();
         self.min_request_bytes = body_bytes + request.uri().path().len();
-        match self.sender.try_send_request(request).await {
+        self.progress.reset_unparsed();
+        let result = self.sender.try_send_request(request).await;
+        self.progress.reset_unparsed();
+        match result {
             Ok(response) => Ok(response),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
@@ -195,6 +219,11 @@
         }
     }
 
+    /// Records that a part of the response's body arrived.
+    pub fn record_body(&self) {
+        self.progress.reset_unparsed();
+    }
+
     /// Returns whether any byte of the current request was written.
     pub fn has_written(&self) -> bool {
         self.progress.written() > self.written_before
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -13,6 +13,7 @@
 
 use crate::dialect::{EdgeDialect, PromptPrefix, ResponseHead};
 use crate::fleet::upstream_entry::{ServingState, UpstreamEntry};
+use crate::forward::body_budget::BodyBudget;
 use crate::forward::connection_pool::ConnectionPool;
 use crate::forward_board::ForwardBoard;
 use crate::ids::{ServiceId, UpstreamKey};
@@ -47,6 +48,8 @@
     pub telemetry: PrometheusMetrics,
     /// Idle connections to upstreams.
     pub pool: RefCell<ConnectionPool>,
+    /// Memory of the response bodies that are being read.
+    pub body_budget: BodyBudget,
     upstream_stats: RefCell<HashMap<UpstreamKey, UpstreamStats>>,
     retry_windows: RefCell<HashMap<ServiceId, RetryWindow>>,
     prompt_load: RefCell<PromptLoad>,
@@ -111,6 +114,7 @@
             clock,
             telemetry,
             pool: RefCell::default(),
+            body_budget: BodyBudget::default(),
             upstream_stats: RefCell::default(),
             retry_windows: RefCell::default(),
             prompt_load: RefCell::default(),
--- a/standins/src/scripted_engine.rs
+++ b/standins/src/scripted_engine.rs
@@ -33,6 +33,9 @@
 pub enum ScriptStep {
     Send(Vec<u8>),
     Pause(Duration),
+    /// Sends the bytes again and again, with a pause after each time, until the caller closes the
+    /// connection.
+    Repeat(Vec<u8>, Duration),
     /// Waits until the caller closes the connection, then closes it too.
     AwaitClose,
     /// Closes the connection in an orderly way.
@@ -98,7 +101,8 @@
 struct EngineRecord {
     requests: Vec<ReceivedRequest>,
     connections: usize,
-    /// Number of requests whose caller closed the connection during [`ScriptStep::AwaitClose`].
+    /// Number of requests whose caller closed the connection during [`ScriptStep::AwaitClose`] or
+    /// [`ScriptStep::Repeat`].
     closed_by_caller: usize,
 }
 
@@ -202,6 +206,13 @@
                         thread::sleep(duration);
                         true
                     }
+                    ScriptStep::Repeat(bytes, pause) => {
+                        while socket.write_all(&bytes).is_ok() {
+                            thread::sleep(pause);
+                        }
+                        self.with_record(|record| record.closed_by_caller += 1);
+                        false
+                    }
                     ScriptStep::AwaitClose => {
                         // Either kind of close counts, orderly or by reset.
                         let _ = read_message(&mut reader, false);
