--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -28,6 +28,9 @@
 /// Maximum number of faults logged for one configuration; the `check` command shows all.
 const MAX_LOGGED_FAULTS: usize = 10;
 
+/// Maximum number of entries logged for one merge. The line about the merge counts all.
+pub const MAX_LOGGED_ENTRIES: usize = 20;
+
 /// Revision of the store, which increases with each change.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct StoreRevision(pub u64);
@@ -136,6 +139,9 @@
     /// Highest revision of a removal that was discarded. Changes since an earlier revision are no
     /// longer complete.
     discarded: StoreRevision,
+    /// Number of entries that the merge in progress may still log. A whole fleet of upstreams that
+    /// is read at once would fill the log of each router.
+    log_quota: usize,
     last_failure: Option<MonoTime>,
     recovered: Option<MonoTime>,
 }
@@ -149,6 +155,7 @@
             config: None,
             entries: BTreeMap::new(),
             discarded: StoreRevision::default(),
+            log_quota: MAX_LOGGED_ENTRIES,
             last_failure: None,
             recovered: None,
         }
@@ -230,6 +237,7 @@
         revision: StoreRevision,
         now: MonoTime,
     ) -> MergeEffect {
+        self.begin_log();
         let mut effect = MergeEffect::default();
         for change in changes {
             effect.join(self.merge_change(change, now));
@@ -240,6 +248,7 @@
 
     /// Merges documents of the store before all of them were read.
     pub fn merge_page(&mut self, items: Vec<StoreItem>) -> MergeEffect {
+        self.begin_log();
         let mut effect = MergeEffect::default();
         for item in items {
             effect.join(self.write(item));
@@ -291,6 +300,7 @@
         revision: StoreRevision,
         now: MonoTime,
     ) -> MergeEffect {
+        self.begin_log();
         let mut effect = MergeEffect::default();
         for change in changes {
             effect.join(match change {
@@ -308,6 +318,7 @@
 
     /// Merges a full snapshot; entries that it doesn't contain were removed.
     pub fn merge_snapshot(&mut self, snapshot: StoreSnapshot, now: MonoTime) -> MergeEffect {
+        self.begin_log();
         let mut effect = MergeEffect::default();
         let grace = self.expiry_grace(now);
         let listed: BTreeSet<&str> = snapshot.items.iter().map(|i| i.key.as_str()).collect();
@@ -382,6 +393,18 @@
             .collect()
     }
 
+    /// Counts a log line about an entry; returns false once the merge has used up its lines.
+    fn may_log_entry(&mut self) -> bool {
+        let left = self.log_quota > 0;
+        self.log_quota = self.log_quota.saturating_sub(1);
+        left
+    }
+
+    /// Starts the log lines of a new merge.
+    fn begin_log(&mut self) {
+        self.log_quota = MAX_LOGGED_ENTRIES;
+    }
+
     fn write(&mut self, item: StoreItem) -> MergeEffect {
         if item.key == self.codec.config_key() {
             return self.write_config(item);
@@ -408,7 +431,10 @@
             EntryState::Removed(_) => None,
         });
         let changed = before != entry;
-        if changed && let Some(entry) = &entry {
+        if changed
+            && let Some(entry) = &entry
+            && self.may_log_entry()
+        {
             spdlog::info!("upstream-known", kv: {
                 upstream: = entry.id, service: = entry.service, address: = entry.address,
                 state:? = entry.state, revision: = item.revision
@@ -494,9 +520,11 @@
             Some(entry) if !grace.is_zero() => EntryState::Expiring(now + grace, entry),
             _ => EntryState::Removed(now),
         };
-        spdlog::info!("upstream-removed", kv: {
-            key: = key, revision: = revision, hold_ms: = grace.as_millis()
-        });
+        if self.may_log_entry() {
+            spdlog::info!("upstream-removed", kv: {
+                key: = key, revision: = revision, hold_ms: = grace.as_millis()
+            });
+        }
         MergeEffect {
             config: false,
             upstreams: true,
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -13,7 +13,9 @@
 use crate::fleet::fetch_plan::FetchPlan;
 use crate::fleet::member_table::{MemberRecord, MemberStage, MemberTable};
 use crate::fleet::store_role::StoreRole;
-use crate::fleet::store_view::{DocumentCodec, MergeEffect, StoreRevision, StoreView};
+use crate::fleet::store_view::{
+    DocumentCodec, MAX_LOGGED_ENTRIES, MergeEffect, StoreRevision, StoreView,
+};
 use crate::forward_board::{ForwardBoard, ForwardStage};
 use crate::forward_control::SettingsSource;
 use crate::forward_control::store_task::{StoreCommand, StoreEvent};
@@ -216,6 +218,11 @@
             }
             StoreEvent::Changes(update) => {
                 self.record_store_response(now);
+                if update.changes.len() > MAX_LOGGED_ENTRIES {
+                    spdlog::info!("store-changes", kv: {
+                        revision: = update.revision, changes: = update.changes.len()
+                    });
+                }
                 self.store_view
                     .merge_changes(update.changes, update.revision, now)
             }
--- a/tests/store_view.rs
+++ b/tests/store_view.rs
@@ -202,3 +202,49 @@
     second.tick(NOW + Duration::from_millis(2001));
     assert!(upstream_ids(&second).is_empty());
 }
+
+/// Guards against a removal that a router misses because it was behind for longer than its peer
+/// retains removals: it would use a left upstream for good.
+#[test]
+fn late_peer_learns_removals() {
+    let mut peer = StoreView::new(TextCodec);
+    let mut late = StoreView::new(TextCodec);
+    for view in [&mut peer, &mut late] {
+        view.merge_changes(
+            vec![written("up/a", "", 1), written("up/b", "", 2)],
+            StoreRevision(2),
+            NOW,
+        );
+    }
+    peer.merge_changes(vec![removed("up/a", 3)], StoreRevision(3), NOW);
+    assert!(peer.has_changes_since(late.revision()));
+    let later = NOW + Duration::from_mins(2);
+    peer.tick(later);
+    assert!(!peer.has_changes_since(late.revision()));
+    let all = peer.changes_since(StoreRevision(0), later);
+    late.merge_peer_snapshot(all, peer.revision(), later);
+    assert_eq!(upstream_ids(&late), ["b"]);
+}
+
+/// Guards against a peer that read a snapshot and so never saw an entry that was removed before, or
+/// that was told of a removal without having known the entry.
+#[test]
+fn unseen_entry_is_removed() {
+    let mut late = StoreView::new(TextCodec);
+    late.merge_changes(vec![written("up/a", "", 1)], StoreRevision(1), NOW);
+    let mut reader = StoreView::new(TextCodec);
+    let snapshot = StoreSnapshot {
+        revision: StoreRevision(5),
+        items: vec![item("up/b", "", 4)],
+    };
+    reader.merge_snapshot(snapshot, NOW);
+    assert!(!reader.has_changes_since(late.revision()));
+    let mut told = StoreView::new(TextCodec);
+    told.merge_peer(vec![removed("up/a", 3)], StoreRevision(5), NOW);
+    late.merge_peer(
+        told.changes_since(late.revision(), NOW),
+        told.revision(),
+        NOW,
+    );
+    assert!(upstream_ids(&late).is_empty());
+}
