--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -21,6 +21,7 @@
 use crate::forward::upstream_response::{CallPlan, FullResponse, OpenStream, UpstreamResponse};
 use crate::forward_board::ForwardStage;
 use crate::mono::MonoTime;
+use crate::policy::boot_refusal::boot_retry_after;
 use crate::policy::call_attempts::CallFailure;
 use crate::route::{AccountGrant, RouteRule, RouteTable};
 
@@ -140,7 +141,12 @@
         return Err(LocalResponse::not_run("router stops"));
     }
     let Some(table) = state.board.routes.load_full() else {
-        return Err(LocalResponse::not_run("no configuration yet"));
+        // The clock starts with the process, which has had no configuration since.
+        let draw = (state.draw() as f64) / (u64::MAX as f64);
+        return Err(LocalResponse {
+            retry_after: Some(boot_retry_after(began.since(MonoTime::default()), draw)),
+            ..LocalResponse::not_run("no configuration yet")
+        });
     };
     let headers = copy_request_headers(request, &table)?;
     let method = Method::from_bytes(request.method().as_str().as_bytes())
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,6 +4,7 @@
 //! Nothing here uses a socket, a clock or a thread. Time, randomness and messages are arguments,
 //! so that the same code runs in a router, in tests and in the benchmarks.
 
+pub mod boot_refusal;
 pub mod call_attempts;
 pub mod engine_pool;
 pub mod fair_queue;
