--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -318,14 +318,10 @@
 
     /// Merges a full snapshot; entries that it doesn't contain were removed.
     pub fn merge_snapshot(&mut self, snapshot: StoreSnapshot, now: MonoTime) -> MergeEffect {
-        self.begin_log();
-        let mut effect = MergeEffect::default();
         let grace = self.expiry_grace(now);
         let listed: BTreeSet<&str> = snapshot.items.iter().map(|i| i.key.as_str()).collect();
         let missing = self.present_except(&listed, snapshot.revision);
-        for item in snapshot.items {
-            effect.join(self.write(item));
-        }
+        let mut effect = self.merge_page(snapshot.items);
         for key in missing {
             effect.join(self.remove(&key, snapshot.revision, grace, now));
         }
--- /dev/null
+++ b/tests/store_codec/mod.rs
@@ -0,0 +1,46 @@
+//! Documents of a store in tests: a configuration is the text of its version, and a key `up/ID` is
+//! the entry of upstream `ID`.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornrouter::fleet::store_view::DocumentCodec;
+use hawthornrouter::fleet::upstream_entry::{ServingState, UpstreamEntry};
+use hawthornrouter::route::{ConfigVersion, EdgeLimits, RouteTable, TableBuilder};
+use hawthornrouter::units::ByteSize;
+
+pub struct TextCodec;
+
+impl DocumentCodec for TextCodec {
+    fn config_key(&self) -> &'static str {
+        "config"
+    }
+
+    fn decode_config(&self, value: &Bytes) -> anyhow::Result<RouteTable> {
+        let version = std::str::from_utf8(value)?.parse()?;
+        let limits = EdgeLimits {
+            head_bytes: ByteSize(1),
+            body_bytes: ByteSize(1),
+            head_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        };
+        Ok(TableBuilder::new(ConfigVersion(version), limits).build())
+    }
+
+    fn decode_entry(&self, key: &str, _: &Bytes) -> Option<anyhow::Result<UpstreamEntry>> {
+        let id = key.strip_prefix("up/")?;
+        Some(entry(id))
+    }
+}
+
+fn entry(id: &str) -> anyhow::Result<UpstreamEntry> {
+    Ok(UpstreamEntry {
+        id: id.parse()?,
+        service: "app".parse()?,
+        address: "127.0.0.1:1".parse()?,
+        data_center: "a".parse()?,
+        slots: 1,
+        state: ServingState::Ready,
+        warm_up: Duration::ZERO,
+    })
+}
--- a/tests/store_readers.rs
+++ b/tests/store_readers.rs
@@ -3,6 +3,8 @@
 //! older documents, and against calls to the store that grow with the fleet. Runs the decision code
 //! of whole fleets on virtual time.
 
+mod store_codec;
+
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -12,16 +14,15 @@
 use hawthornrouter::fleet::member_table::{GOSSIP_PERIOD, MemberRecord, MemberStage, MemberTable};
 use hawthornrouter::fleet::store_role::{StoreReport, StoreRole};
 use hawthornrouter::fleet::store_view::{
-    DocumentCodec, StoreChange, StoreItem, StoreRevision, StoreSnapshot, StoreView,
+    StoreChange, StoreItem, StoreRevision, StoreSnapshot, StoreView,
 };
-use hawthornrouter::fleet::upstream_entry::{ServingState, UpstreamEntry};
 use hawthornrouter::ids::{DataCenterTag, IncarnationId};
 use hawthornrouter::mono::MonoTime;
-use hawthornrouter::route::{ConfigVersion, EdgeLimits, RouteTable, TableBuilder};
-use hawthornrouter::units::ByteSize;
+use hawthornrouter::route::ConfigVersion;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use store_codec::TextCodec;
 
 /// Resolution of the simulation, and the duration of a request between two processes.
 const STEP: Duration = Duration::from_millis(25);
@@ -33,41 +34,6 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(2300);
 const DATA_CENTERS: usize = 5;
 
-struct TestCodec;
-
-impl DocumentCodec for TestCodec {
-    fn config_key(&self) -> &'static str {
-        "config"
-    }
-
-    fn decode_config(&self, value: &Bytes) -> anyhow::Result<RouteTable> {
-        let version = std::str::from_utf8(value)?.parse()?;
-        let limits = EdgeLimits {
-            head_bytes: ByteSize(1),
-            body_bytes: ByteSize(1),
-            head_timeout: Duration::ZERO,
-            idle_timeout: Duration::ZERO,
-        };
-        Ok(TableBuilder::new(ConfigVersion(version), limits).build())
-    }
-
-    fn decode_entry(&self, key: &str, _: &Bytes) -> Option<anyhow::Result<UpstreamEntry>> {
-        let id = key.strip_prefix("up/")?;
-        let entry = || {
-            Ok(UpstreamEntry {
-                id: id.parse()?,
-                service: "app".parse()?,
-                address: "127.0.0.1:1".parse()?,
-                data_center: "a".parse()?,
-                slots: 1,
-                state: ServingState::Ready,
-                warm_up: Duration::ZERO,
-            })
-        };
-        Some(entry())
-    }
-}
-
 /// The store: every change with its revision, of which it may discard the oldest.
 #[derive(Default)]
 struct Store {
@@ -136,7 +102,7 @@
     members: MemberTable,
     role: StoreRole,
     plan: FetchPlan,
-    view: StoreView<TestCodec>,
+    view: StoreView<TextCodec>,
     follow: Follow,
     store_active: MonoTime,
     store_failed: bool,
@@ -235,7 +201,7 @@
             members: MemberTable::new(own, vec![address(0), address(1), address(2)]),
             role: StoreRole::new(self.apply_limit),
             plan: FetchPlan::default(),
-            view: StoreView::new(TestCodec),
+            view: StoreView::new(TextCodec),
             follow: Follow::Read,
             store_active: self.now,
             store_failed: false,
--- a/tests/store_view.rs
+++ b/tests/store_view.rs
@@ -1,53 +1,18 @@
 //! Guards against a view of the store that depends on the order in which changes arrive from the
 //! store and from peers, and against upstreams that are lost in a store outage.
 
+mod store_codec;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 use hawthornrouter::fleet::store_view::{
-    DocumentCodec, StoreChange, StoreItem, StoreRevision, StoreSnapshot, StoreView,
+    StoreChange, StoreItem, StoreRevision, StoreSnapshot, StoreView,
 };
-use hawthornrouter::fleet::upstream_entry::{ServingState, UpstreamEntry};
 use hawthornrouter::mono::MonoTime;
-use hawthornrouter::route::{ConfigVersion, EdgeLimits, RouteTable, TableBuilder};
-use hawthornrouter::units::ByteSize;
+use hawthornrouter::route::ConfigVersion;
 use proptest::prelude::*;
-
-struct TextCodec;
-
-impl DocumentCodec for TextCodec {
-    fn config_key(&self) -> &'static str {
-        "config"
-    }
-
-    fn decode_config(&self, value: &Bytes) -> anyhow::Result<RouteTable> {
-        let version = std::str::from_utf8(value)?.parse()?;
-        let limits = EdgeLimits {
-            head_bytes: ByteSize(1),
-            body_bytes: ByteSize(1),
-            head_timeout: Duration::ZERO,
-            idle_timeout: Duration::ZERO,
-        };
-        Ok(TableBuilder::new(ConfigVersion(version), limits).build())
-    }
-
-    fn decode_entry(&self, key: &str, _: &Bytes) -> Option<anyhow::Result<UpstreamEntry>> {
-        let id = key.strip_prefix("up/")?;
-        Some(entry(id))
-    }
-}
-
-fn entry(id: &str) -> anyhow::Result<UpstreamEntry> {
-    Ok(UpstreamEntry {
-        id: id.parse()?,
-        service: "app".parse()?,
-        address: "127.0.0.1:1".parse()?,
-        data_center: "a".parse()?,
-        slots: 1,
-        state: ServingState::Ready,
-        warm_up: Duration::ZERO,
-    })
-}
+use store_codec::TextCodec;
 
 fn written(key: &str, value: &str, revision: u64) -> StoreChange {
     StoreChange::Written(item(key, value, revision))
