Log the prompt parts of calls that a crashing upstream had not begun to answer

After such a call the router now connects once more; a refused connection means a crash, and one line names the parts. No decision changes.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -11,7 +11,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::{AccountId, DataCenterId, UpstreamId};
+use crate::ids::{AccountId, DataCenterId, PartTag, UpstreamId};
 use crate::route::PriorityRank;
 
 /// One part of a prompt.
@@ -63,6 +63,12 @@
         self.target.split('?').next().unwrap_or_default()
     }
 
+    /// The parts of the prompt that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = PartTag> {
+        let shared = self.prompt.len().saturating_sub(1);
+        self.prompt[..shared].iter().map(|part| PartTag(part.hash))
+    }
+
     /// The prefix of the prompt that other requests may share. It excludes the last part, which
     /// belongs to the request or its chat, unless that is the only part.
     pub fn shared_prefix(&self) -> Option<PromptPrefix> {
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -1,9 +1,11 @@
 //! One call of a caller: attempts at upstreams until one of them returns a response to pass on.
 
 mod attempt;
+mod crash_check;
 
 use std::borrow::Cow;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 
@@ -13,7 +15,7 @@
 use crate::forward::traffic_state::{TrafficState, UpstreamGuard};
 use crate::forward::upstream_response::{CallPlan, OpenStream, UpstreamResponse};
 use crate::forward::wait_limits::WaitLimits;
-use crate::ids::{ServiceId, UpstreamKey};
+use crate::ids::{PartTag, ServiceId, UpstreamKey};
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
 use crate::route::PriorityRank;
@@ -32,6 +34,11 @@
     /// The parts of the prompt that other requests share. `None` if the route's upstreams cache no
     /// prompts.
     prompt: Option<PromptPrefix>,
+    /// The parts that make up `prompt`.
+    parts: Vec<PartTag>,
+    /// Whether an upstream has answered beyond the first events, so that the prompt is known not to
+    /// crash upstreams.
+    is_sound: bool,
     reader: EventReader,
     first_event: Option<MonoTime>,
     /// The latest choice of an upstream, for log lines.
@@ -48,7 +55,10 @@
             .head
             .shared_prefix()
             .filter(|_| plan.route.cached_prompts);
+        let parts = plan.head.shared_parts();
         Self {
+            parts: parts.filter(|_| prompt.is_some()).collect(),
+            is_sound: false,
             prompt,
             attempts: CallAttempts::new(plan.route.kind, plan.route.max_attempts),
             reader: EventReader::new(plan.head.resume_after),
@@ -78,12 +88,16 @@
                 reused: false,
                 cache_source: None,
             });
+            let entry = Arc::clone(&guard.entry);
             match self.attempt(guard).await {
                 Ok(response) => return Ok(response),
-                Err(fault) => match self.handle_fault(key, fault, started) {
-                    NextStep::Retry => {}
-                    NextStep::Fail(failure) => return Err(failure),
-                },
+                Err(fault) => {
+                    self.is_crash(&entry, fault).await;
+                    match self.handle_fault(key, fault, started) {
+                        NextStep::Retry => {}
+                        NextStep::Fail(failure) => return Err(failure),
+                    }
+                }
             }
         }
     }
@@ -100,6 +114,7 @@
             };
             if open.ended {
                 if let Some(open) = stream.take() {
+                    self.is_sound = true;
                     self.release(open.source);
                 }
                 return Ok(None);
@@ -116,14 +131,17 @@
                 Ok((events, ended)) => {
                     open.ended = ended;
                     if !events.is_empty() {
+                        self.is_sound = true;
                         return Ok(Some(events));
                     }
                 }
                 Err(fault) => {
+                    let entry = Arc::clone(&open.source.guard.entry);
                     // Closes the connection, so that the upstream stops running the call
                     // before another one continues it.
                     *stream = None;
                     self.reader.restart();
+                    self.is_crash(&entry, fault).await;
                     match self.handle_fault(key, fault, started) {
                         NextStep::Fail(failure) => return Err(failure),
                         NextStep::Retry => *stream = Some(self.resume().await?),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -153,6 +153,26 @@
     }
 }
 
+/// Identifies a part of prompts, which many requests may share.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PartTag(pub u64);
+
+impl fmt::Display for PartTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for PartTag {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ValueError::new(text, "1 to 16 hexadecimal digits"))
+    }
+}
+
 /// The revision of a configuration; a higher one is newer.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -27,6 +27,8 @@
     pub connects: IntCounter,
     /// Number of times that a call was sent to one more upstream after a failed attempt.
     pub repeats: IntCounter,
+    /// Number of calls that were lost without an answer when their upstream crashed.
+    pub crashed_calls: IntCounter,
     /// Number of log lines dropped by the rate limits.
     pub lines_left_out: IntCounter,
     /// Version of the configuration in force.
@@ -92,6 +94,10 @@
                 "repeats_total",
                 "Calls sent to one more upstream after a failed attempt",
             )?,
+            crashed_calls: counter(
+                "crashed_calls_total",
+                "Calls lost without an answer when their upstream crashed",
+            )?,
             lines_left_out: counter(
                 "log_lines_left_out_total",
                 "Log lines dropped by the rate limits",
