--- a/standins/src/scripted_engine.rs
+++ b/standins/src/scripted_engine.rs
@@ -1,12 +1,12 @@
 //! An engine that responds to each request as a script says, and records the requests it received.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
-use socket2::SockRef;
+use socket2::{SockRef, Socket};
 
 use crate::wire_text::{WireHead, read_message};
 
@@ -42,6 +42,8 @@
     Close,
     /// Resets the connection.
     Reset,
+    /// Ends the engine: closes every connection and refuses new ones.
+    Crash,
 }
 
 /// The steps of the response to one request.
@@ -111,6 +113,8 @@
 pub struct ScriptedEngine {
     pub address: SocketAddr,
     record: Arc<(Mutex<EngineRecord>, Condvar)>,
+    /// The listener, followed by all connections.
+    sockets: Arc<Mutex<Vec<Socket>>>,
 }
 
 impl ScriptedEngine {
@@ -123,11 +127,14 @@
         let engine = Self {
             address: listener.local_addr().expect("bound address"),
             record: Arc::default(),
+            sockets: Arc::default(),
         };
+        engine.keep(&SockRef::from(&listener));
         let script = Arc::new(script);
         let shared = engine.clone();
         thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
+            while let Ok((socket, _)) = listener.accept() {
+                shared.keep(&SockRef::from(&socket));
                 let connection = shared.with_record(|record| {
                     record.connections += 1;
                     record.connections - 1
@@ -161,6 +168,20 @@
         self.await_record(|record| record.closed_by_caller >= count);
     }
 
+    fn keep(&self, socket: &Socket) {
+        let socket = socket.try_clone().expect("a descriptor is free");
+        let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
+        sockets.push(socket);
+    }
+
+    fn crash(&self) {
+        let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
+        for socket in sockets.drain(..) {
+            // Fails if the caller has closed the connection already.
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+
     fn await_record<F: Fn(&EngineRecord) -> bool>(&self, done: F) {
         let (record, changed) = &*self.record;
         let guard = record.lock().unwrap_or_else(PoisonError::into_inner);
@@ -220,6 +241,10 @@
                         false
                     }
                     ScriptStep::Close => false,
+                    ScriptStep::Crash => {
+                        self.crash();
+                        false
+                    }
                     ScriptStep::Reset => {
                         let _ = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
                         false
