Hold back calls whose prompt has a part that crashes upstreams

Cause: no router remembered what a crashed engine had been working on. A call that crashed an engine went to the next one within its attempts, and later calls with the same part anywhere. Class of fault: work that destroys its worker is delivered again without a bound.

Change: a call without an answer at an engine that then refuses connections is evidence against each shared part of its prompt. An answer to a part clears it of crashes up to a second after the answer. A part in three crashes at different times, uncleared, is held; crashes that a held part explains do not count against others, and of parts with equal evidence those that were never answered are held. Calls with a held part get 503 at once with Retry-After until the next trial. Crash and sound reports travel in heartbeats in place of loads (4,992 B/s at 200 routers as before). After a minute one router sends one trial; a crash doubles the hold, an answer ends it. A call whose parts were in two crashes is not repeated.

--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -10,10 +10,12 @@
 
 /// Events that change a router's cached state, or whether it runs. They are shown if they occur
 /// while the router handles the request.
-const STATE_CHANGE_EVENTS: [&str; 12] = [
+const STATE_CHANGE_EVENTS: [&str; 14] = [
     "config-accepted",
     "documents-from-peer",
     "member-changed",
+    "part-held",
+    "part-released",
     "paused",
     "settings-reloaded",
     "stage",
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -76,6 +76,9 @@
     /// Makes attempts until one returns a response for the caller.
     pub async fn forward(&mut self) -> Result<UpstreamResponse<D>, CallFailure> {
         loop {
+            if let Some(failure) = self.find_hold() {
+                return Err(failure);
+            }
             let Some(guard) = self.choose_upstream() else {
                 return Err(self.attempts.exhausted(self.in_time()));
             };
@@ -92,7 +95,7 @@
             match self.attempt(guard).await {
                 Ok(response) => return Ok(response),
                 Err(fault) => {
-                    self.is_crash(&entry, fault).await;
+                    self.record_crash(&entry, fault).await;
                     match self.handle_fault(key, fault, started) {
                         NextStep::Retry => {}
                         NextStep::Fail(failure) => return Err(failure),
@@ -113,8 +116,8 @@
                 return Ok(None);
             };
             if open.ended {
+                self.record_sound();
                 if let Some(open) = stream.take() {
-                    self.is_sound = true;
                     self.release(open.source);
                 }
                 return Ok(None);
@@ -131,7 +134,7 @@
                 Ok((events, ended)) => {
                     open.ended = ended;
                     if !events.is_empty() {
-                        self.is_sound = true;
+                        self.record_sound();
                         return Ok(Some(events));
                     }
                 }
@@ -141,7 +144,7 @@
                     // before another one continues it.
                     *stream = None;
                     self.reader.restart();
-                    self.is_crash(&entry, fault).await;
+                    self.record_crash(&entry, fault).await;
                     match self.handle_fault(key, fault, started) {
                         NextStep::Fail(failure) => return Err(failure),
                         NextStep::Retry => *stream = Some(self.resume().await?),
@@ -186,7 +189,9 @@
             .call_seconds
             .with_label_values(&[kind])
             .observe(spent.as_secs_f64());
-        if outcome == "answered" && status < 500 && !self.state.may_log_call() {
+        let is_success = outcome == "answered" && status < 500;
+        // The line of a held call is `call-held`.
+        if outcome == "held" || (is_success && !self.state.may_log_call()) {
             return;
         }
         let first = self.first_event.unwrap_or_default().since(self.plan.began);
@@ -246,7 +251,8 @@
             _ => self.suspect.push(key),
         }
         let in_time = self.in_time();
-        let affordable = self.state.affordable(&self.service);
+        let affordable = self.state.affordable(&self.service)
+            && self.state.board.suspect_parts().may_repeat(&self.parts);
         let step = self.attempts.record_fault(fault, in_time, affordable);
         spdlog::info!("attempt-failed", kv: {
             id: = self.request_id(), fault: = fault.label(), code:? = fault,
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -88,6 +88,7 @@
             }));
         }
         let body = self.read_body(&mut source, limits).await?;
+        self.record_sound();
         if parts.status.is_server_error() {
             self.state.record_failure(
                 source.guard.key,
--- a/src/forward/front_call/crash_check.rs
+++ b/src/forward/front_call/crash_check.rs
@@ -1,4 +1,4 @@
-//! Tells an upstream that crashed from a connection that broke.
+//! Crashes of upstreams under a call, and calls that are held because of them.
 
 use std::io::ErrorKind;
 use std::time::Duration;
@@ -9,31 +9,74 @@
 use super::FrontCall;
 use crate::dialect::EdgeDialect;
 use crate::fleet::upstream_entry::UpstreamEntry;
-use crate::policy::call_attempts::AttemptFault;
+use crate::policy::call_attempts::{AttemptFault, CallFailure};
+use crate::policy::suspect_parts::PartDecision;
 
 /// Timeout of the connection attempt after a broken call. A VM whose process has ended refuses
 /// within a round trip.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl<D: EdgeDialect> FrontCall<D> {
-    /// Returns whether the upstream crashed while it ran this call. If only the connection broke,
-    /// the upstream still accepts others. Calls that no crash can be traced to are not checked:
-    /// those whose answer was in progress, or whose prompt has no part that others may share.
-    pub(super) async fn is_crash(&self, entry: &UpstreamEntry, fault: AttemptFault) -> bool {
+    /// Records the crash of an upstream under this call, if the fault of the attempt is one. An
+    /// upstream that only broke the connection still accepts others.
+    ///
+    /// No crash is traced to a call whose answer was in progress, or whose prompt has no part that
+    /// others may share.
+    pub(super) async fn record_crash(&mut self, entry: &UpstreamEntry, fault: AttemptFault) {
         if fault != AttemptFault::Broken || self.is_sound || self.parts.is_empty() {
-            return false;
+            return;
         }
+        let broken_at = self.state.now();
         let connect = timeout(CHECK_TIMEOUT, TcpStream::connect(entry.address)).await;
         let refused =
             matches!(connect, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
-        if refused {
-            self.state.telemetry.crashed_calls.inc();
-            let parts: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
-            spdlog::info!("upstream-crashed", kv: {
-                id: = self.request_id(), upstream: = entry.id, service: = self.service,
-                parts: = parts.join(","), events: = self.reader.event_count()
-            });
+        if !refused || self.state.is_leaving(entry.id.key()) {
+            return;
+        }
+        self.state.telemetry.crashed_calls.inc();
+        let parts: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
+        spdlog::info!("upstream-crashed", kv: {
+            id: = self.request_id(), upstream: = entry.id, service: = self.service,
+            parts: = parts.join(","), events: = self.reader.event_count()
+        });
+        let upstream = entry.id.key().into();
+        let mut suspects = self.state.board.suspect_parts();
+        suspects.record_crash(&self.parts, upstream, broken_at);
+    }
+
+    /// Records that the answer goes on after its first events, or is complete.
+    pub(super) fn record_sound(&mut self) {
+        if !std::mem::replace(&mut self.is_sound, true) && !self.parts.is_empty() {
+            let now = self.state.now();
+            let mut suspects = self.state.board.suspect_parts();
+            suspects.record_sound(&self.parts, now);
+        }
+    }
+
+    /// Returns the failure to report if a part of the prompt is held.
+    pub(super) fn find_hold(&self) -> Option<CallFailure> {
+        let now = self.state.now();
+        match self.state.decide_parts(&self.parts, now) {
+            PartDecision::Send => None,
+            PartDecision::Trial(held) => {
+                spdlog::info!("part-trial", kv: {
+                    id: = self.request_id(), part: = held.part, crashes: = held.crashes,
+                    last_crash_ms: = now.since(held.last_crash).as_millis()
+                });
+                None
+            }
+            PartDecision::Hold { held, retry_after } => {
+                if self.state.may_log_refusal() {
+                    spdlog::info!("call-held", kv: {
+                        id: = self.request_id(), part: = held.part, crashes: = held.crashes,
+                        first_crash_ms: = now.since(held.first_crash).as_millis(),
+                        last_crash_ms: = now.since(held.last_crash).as_millis(),
+                        retry_after_ms: = retry_after.as_millis(),
+                        verdict:? = self.attempts.verdict()
+                    });
+                }
+                Some(self.attempts.held(retry_after))
+            }
         }
-        refused
     }
 }
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -69,6 +69,10 @@
             CallFailure::Unknown => {
                 Self::new(StatusCode::BAD_GATEWAY, "the upstream's answer was lost")
             }
+            CallFailure::Held(retry_after) => Self {
+                retry_after: Some(retry_after),
+                ..Self::not_run("a part of the prompt crashes upstreams")
+            },
             CallFailure::Late => Self::new(
                 StatusCode::GATEWAY_TIMEOUT,
                 "no answer within the time limit",
@@ -273,6 +277,7 @@
         CallFailure::NotRun => "not-run",
         CallFailure::Unknown => "unknown",
         CallFailure::Late => "late",
+        CallFailure::Held(_) => "held",
     }
 }
 
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -16,13 +16,14 @@
 use crate::forward::body_budget::BodyBudget;
 use crate::forward::connection_pool::ConnectionPool;
 use crate::forward_board::ForwardBoard;
-use crate::ids::{ServiceId, UpstreamKey};
+use crate::ids::{PartTag, ServiceId, UpstreamKey};
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::call_attempts::AttemptFault;
 use crate::policy::latest_loads::UpstreamLoad;
 use crate::policy::prompt_load::PromptLoad;
 use crate::policy::retry_window::RetryWindow;
+use crate::policy::suspect_parts::PartDecision;
 use crate::policy::upstream_choice::{
     Eligibility, SharedPart, UpstreamCandidate, choose_upstream, next_preferred,
 };
@@ -269,6 +270,22 @@
             .collect()
     }
 
+    /// Decides whether a call whose prompt has `parts` may be sent to an upstream.
+    pub fn decide_parts(&self, parts: &[PartTag], now: MonoTime) -> PartDecision {
+        let own = self.board.settings.load().address;
+        let routers = self.board.serving_routers.load();
+        let addresses = routers.iter().map(|router| router.address);
+        let mut suspects = self.board.suspect_parts();
+        suspects.decide(parts, own, addresses, now)
+    }
+
+    /// Returns whether the upstream is draining or no longer registered.
+    pub fn is_leaving(&self, upstream: UpstreamKey) -> bool {
+        let upstreams = self.board.upstreams.load();
+        let entry = upstreams.iter().find(|entry| entry.id.key() == upstream);
+        entry.is_none_or(|entry| entry.state == ServingState::Draining)
+    }
+
     /// Returns whether the upstream's latest load report, if still valid, shows queued calls.
     pub fn is_queued(&self, upstream: UpstreamKey) -> bool {
         let now = self.now();
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -9,6 +9,7 @@
 use crate::forward_settings::ForwardSettings;
 use crate::policy::latest_loads::LatestLoads;
 use crate::policy::locate_choice::RouterPlace;
+use crate::policy::suspect_parts::SuspectParts;
 use crate::route::RouteTable;
 
 /// Stage in the life cycle of a forwarding router.
@@ -57,6 +58,7 @@
     /// Calls in progress; written by the traffic thread.
     pub calls: AtomicUsize,
     load_reports: Mutex<LatestLoads>,
+    suspect_parts: Mutex<SuspectParts>,
     stage: AtomicU8,
 }
 
@@ -72,6 +74,7 @@
             store_known_ms: AtomicU64::new(0),
             calls: AtomicUsize::new(0),
             load_reports: Mutex::default(),
+            suspect_parts: Mutex::default(),
             stage: AtomicU8::new(ForwardStage::Booting as u8),
         }
     }
@@ -83,6 +86,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the prompt parts that may crash upstreams. Both threads keep the lock only briefly.
+    pub fn suspect_parts(&self) -> MutexGuard<'_, SuspectParts> {
+        self.suspect_parts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub fn stage(&self) -> ForwardStage {
         ForwardStage::ALL[usize::from(self.stage.load(Ordering::Relaxed))]
     }
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -20,9 +20,10 @@
 use crate::forward_control::SettingsSource;
 use crate::forward_control::store_task::{StoreCommand, StoreEvent};
 use crate::forward_settings::ForwardSettings;
-use crate::gossip::frames::{HeartbeatFrame, LoadColumns, MemberColumns};
+use crate::gossip::frames::{HeartbeatFrame, MemberColumns};
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::locate_choice::RouterPlace;
+use crate::policy::suspect_parts::PartChange;
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
 
 /// Time between two ticks above which the process counts as paused: its cached state is then older
@@ -130,8 +131,9 @@
                 members.push(&record, age);
             }
         }
-        let reports = self.board.load_reports().busiest(now);
-        frame.loads = Some(LoadColumns::new(&reports, now));
+        let loads = self.board.load_reports().busiest(now);
+        let parts = self.board.suspect_parts().reports(now, &mut rand::rng());
+        frame.set_reports(loads, &parts, now);
         frame.encode_to_vec()
     }
 
@@ -146,6 +148,7 @@
             store_revision: self.store_view.revision().0,
             loads: None,
             store_age_ms: age.map(|age| age.as_millis() as u64),
+            parts: None,
         }
     }
 
@@ -187,6 +190,10 @@
             let mut reports = self.board.load_reports();
             loads.reports(now).for_each(|report| reports.merge(report));
         }
+        if let Some(parts) = &frame.parts {
+            let reports = parts.reports(now);
+            self.board.suspect_parts().merge(&reports, now);
+        }
         if changed {
             spdlog::info!("member-changed", kv: {
                 member: = sender.address, stage:? = sender.stage, new: = new
@@ -334,6 +341,7 @@
         }
         let effect = self.store_view.tick(now);
         self.publish(effect);
+        self.update_suspect_parts(now);
         let targets = self.members.begin_round(now, &mut rand::rng());
         self.publish_members(now);
         let calls = self.board.calls.load(Ordering::Relaxed);
@@ -355,6 +363,24 @@
         }
     }
 
+    /// Forgets old crashes and logs which prompt parts are held or released.
+    fn update_suspect_parts(&self, now: MonoTime) {
+        let mut suspects = self.board.suspect_parts();
+        suspects.remove_expired(now);
+        for change in suspects.take_changes() {
+            match change {
+                PartChange::Held(held) => spdlog::warn!("part-held", kv: {
+                    part: = held.part, crashes: = held.crashes,
+                    first_crash_ms: = now.since(held.first_crash).as_millis(),
+                    last_crash_ms: = now.since(held.last_crash).as_millis(),
+                    trial_in_ms: = held.until.since(now).as_millis()
+                }),
+                PartChange::Released(part) => spdlog::info!("part-released", kv: { part: = part }),
+            }
+        }
+        set_count(&self.telemetry.parts_held, suspects.held().count());
+    }
+
     /// Decides again whether this router reads the store. A booting router always does.
     fn update_role(&mut self, now: MonoTime) -> Option<StoreCommand> {
         if self.board.stage() == ForwardStage::Booting
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -11,9 +11,10 @@
 use crate::fleet::member_table::{MemberRecord, MemberStage};
 use crate::fleet::store_role::StoreReport;
 use crate::fleet::store_view::{StoreChange, StoreItem, StoreRevision};
-use crate::ids::{DataCenterTag, IncarnationId};
+use crate::ids::{DataCenterTag, IncarnationId, PartTag};
 use crate::mono::MonoTime;
-use crate::policy::latest_loads::{UpstreamLoad, UpstreamTag};
+use crate::policy::latest_loads::{MAX_HEARTBEAT_REPORTS, UpstreamLoad, UpstreamTag};
+use crate::policy::part_reports::{CrashReport, PartReports, SoundReport};
 
 /// Membership records in a heartbeat. Each member has the same index in all columns.
 #[derive(Clone, PartialEq, Message)]
@@ -121,6 +122,85 @@
     }
 }
 
+/// Number of loads that take as many bytes as one report about a prompt part. The columns of these
+/// reports take the bytes of one more load.
+const LOADS_PER_PART_REPORT: usize = 2;
+
+/// Unit of the ages of reports about prompt parts, in milliseconds.
+const PART_AGE_MS: u64 = 10;
+
+fn part_age(at: MonoTime, now: MonoTime) -> u32 {
+    let age = now.since(at).as_millis() / u128::from(PART_AGE_MS);
+    u32::try_from(age).unwrap_or(u32::MAX)
+}
+
+fn part_time(age: u32, now: MonoTime) -> MonoTime {
+    now.saturating_sub(Duration::from_millis(PART_AGE_MS * u64::from(age)))
+}
+
+/// Reports about prompt parts in a heartbeat. Each report has the same index in all columns of its
+/// kind.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartColumns {
+    /// Ids of parts that were in a crash.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub crash_parts: Vec<u64>,
+    /// Shortened keys of the upstreams that crashed, see [`UpstreamTag`].
+    #[prost(fixed32, repeated, tag = "2")]
+    pub crash_upstreams: Vec<u32>,
+    /// Times since the crashes, in units of [`PART_AGE_MS`].
+    #[prost(uint32, repeated, tag = "3")]
+    pub crash_ages: Vec<u32>,
+    /// Ids of parts that an upstream answered.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub sound_parts: Vec<u64>,
+    /// Times since the answers, in units of [`PART_AGE_MS`].
+    #[prost(uint32, repeated, tag = "5")]
+    pub sound_ages: Vec<u32>,
+}
+
+impl PartColumns {
+    /// Converts reports to columns, with their ages at `now`.
+    pub fn new(reports: &PartReports, now: MonoTime) -> Self {
+        let (crashes, sound) = (&reports.crashes, &reports.sound);
+        Self {
+            crash_parts: crashes.iter().map(|report| report.part.0).collect(),
+            crash_upstreams: crashes.iter().map(|report| report.upstream.0).collect(),
+            crash_ages: crashes
+                .iter()
+                .map(|report| part_age(report.at, now))
+                .collect(),
+            sound_parts: sound.iter().map(|report| report.part.0).collect(),
+            sound_ages: sound
+                .iter()
+                .map(|report| part_age(report.at, now))
+                .collect(),
+        }
+    }
+
+    /// Converts the columns to reports, with times of the local clock, which is at `now`.
+    pub fn reports(&self, now: MonoTime) -> PartReports {
+        let crashes = self.crash_parts.iter().zip(&self.crash_upstreams);
+        let sound = self.sound_parts.iter().zip(&self.sound_ages);
+        PartReports {
+            crashes: crashes
+                .zip(&self.crash_ages)
+                .map(|((&part, &upstream), &age)| CrashReport {
+                    part: PartTag(part),
+                    upstream: UpstreamTag(upstream),
+                    at: part_time(age, now),
+                })
+                .collect(),
+            sound: sound
+                .map(|(&part, &age)| SoundReport {
+                    part: PartTag(part),
+                    at: part_time(age, now),
+                })
+                .collect(),
+        }
+    }
+}
+
 /// A heartbeat, sent as one UDP datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct HeartbeatFrame {
@@ -140,9 +220,28 @@
     /// sender doesn't know, or is of an earlier version.
     #[prost(uint64, optional, tag = "5")]
     pub store_age_ms: Option<u64>,
+    /// Reports about prompt parts that may crash upstreams. They take the place of loads.
+    #[prost(message, optional, tag = "6")]
+    pub parts: Option<PartColumns>,
 }
 
 impl HeartbeatFrame {
+    /// Adds the loads of the busiest upstreams, which come first in `loads`, and reports about
+    /// prompt parts.
+    pub fn set_reports(
+        &mut self,
+        mut loads: Vec<UpstreamLoad>,
+        parts: &PartReports,
+        now: MonoTime,
+    ) {
+        if !parts.is_empty() {
+            let displaced = 1 + LOADS_PER_PART_REPORT * parts.len();
+            loads.truncate(MAX_HEARTBEAT_REPORTS.saturating_sub(displaced));
+            self.parts = Some(PartColumns::new(parts, now));
+        }
+        self.loads = Some(LoadColumns::new(&loads, now));
+    }
+
     /// The sender's report of the store's newest revision, if it has one.
     pub fn store_report(&self) -> Option<StoreReport> {
         self.store_age_ms.map(|age_ms| StoreReport {
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -4,6 +4,8 @@
 //! attempt proves that the call did not run only if it wrote no byte, if the upstream reported that
 //! it did not execute the call, or if another upstream has taken over the address.
 
+use std::time::Duration;
+
 use crate::route::CallKind;
 
 /// Maximum number of connections that one call tries. Each costs at most one connect timeout, and a
@@ -86,6 +88,9 @@
     Unknown,
     /// The deadline passed, and an upstream may have run the call.
     Late,
+    /// No upstream ran the call, and none will: a part of its prompt crashes upstreams. The caller
+    /// may try again after this time.
+    Held(Duration),
 }
 
 /// The next step after a failed attempt.
@@ -190,6 +195,14 @@
         })
     }
 
+    /// Returns the failure to report when the call may not be sent before `retry_after`.
+    pub fn held(&self, retry_after: Duration) -> CallFailure {
+        match self.failure(CallFailure::Unknown) {
+            CallFailure::NotRun => CallFailure::Held(retry_after),
+            failure => failure,
+        }
+    }
+
     fn failure(&self, if_may_have_run: CallFailure) -> CallFailure {
         if self.verdict == RunVerdict::NotRun && !self.streaming {
             CallFailure::NotRun
--- a/src/policy/latest_loads.rs
+++ b/src/policy/latest_loads.rs
@@ -16,7 +16,7 @@
 
 /// Maximum number of reports in one heartbeat. With more, the control traffic of a router exceeds
 /// 5 KB/s.
-const MAX_HEARTBEAT_REPORTS: usize = 12;
+pub const MAX_HEARTBEAT_REPORTS: usize = 12;
 
 /// The low 32 bits of an upstream's key. Collisions are rare, and a collision only makes a router
 /// use the load of another upstream.
--- /dev/null
+++ b/src/policy/part_history.rs
@@ -0,0 +1,113 @@
+//! The crashes and answers of one prompt part.
+
+use std::time::Duration;
+
+use crate::mono::MonoTime;
+use crate::policy::latest_loads::UpstreamTag;
+
+/// Crashes within this time count as one. VMs that fail together do so for a reason of their own.
+const CRASH_SPACING: Duration = Duration::from_millis(300);
+
+/// Reports about one upstream within this time concern the same crash: no upstream restarts faster.
+const SAME_CRASH_TIME: Duration = Duration::from_millis(1500);
+
+/// An answer this long before a crash still shows that the part did not cause it.
+const SOUND_MARGIN: Duration = Duration::from_secs(1);
+
+/// Number of crashes in memory. More would not prolong the hold of the part much.
+const MAX_CRASHES: usize = 8;
+
+/// The crash of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UpstreamCrash {
+    pub upstream: UpstreamTag,
+    pub at: MonoTime,
+}
+
+impl UpstreamCrash {
+    /// Whether two routers may have reported the same crash.
+    pub fn is_same(&self, other: &Self) -> bool {
+        let apart = self.at.since(other.at).max(other.at.since(self.at));
+        self.upstream == other.upstream && apart <= SAME_CRASH_TIME
+    }
+}
+
+/// The crashes that one prompt part may have caused, and the latest answer to it.
+#[derive(Clone, Debug, Default)]
+pub struct PartHistory {
+    /// Crashes after the latest answer, in order of time.
+    ///
+    /// Invariant: at most [`MAX_CRASHES`], all later than `sound_at` + [`SOUND_MARGIN`].
+    crashes: Vec<UpstreamCrash>,
+    /// Time of the latest answer known.
+    sound_at: Option<MonoTime>,
+    /// Time of the latest crash that was reported, whether or not an answer has cleared the part.
+    last_report: MonoTime,
+}
+
+impl PartHistory {
+    /// Crashes after the latest answer, in order of time.
+    pub fn crashes(&self) -> &[UpstreamCrash] {
+        &self.crashes
+    }
+
+    /// Time of the latest answer known.
+    pub fn sound_at(&self) -> Option<MonoTime> {
+        self.sound_at
+    }
+
+    /// Time of the latest crash that was reported.
+    pub fn last_report(&self) -> MonoTime {
+        self.last_report
+    }
+
+    /// Adds a crash unless it is known or the part was answered after it. Returns whether the
+    /// history has changed.
+    pub fn add_crash(&mut self, crash: UpstreamCrash) -> bool {
+        self.last_report = self.last_report.max(crash.at);
+        let cleared = self.sound_at.is_some_and(|sound| is_cleared(&crash, sound));
+        if cleared || self.crashes.iter().any(|known| known.is_same(&crash)) {
+            return false;
+        }
+        let index = self.crashes.partition_point(|known| known.at <= crash.at);
+        self.crashes.insert(index, crash);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    /// Records an answer, which clears the part of earlier crashes. Returns whether crashes were
+    /// removed.
+    pub fn record_sound(&mut self, at: MonoTime) -> bool {
+        if self.sound_at.is_some_and(|known| known >= at) {
+            return false;
+        }
+        self.sound_at = Some(at);
+        let before = self.crashes.len();
+        self.crashes.retain(|crash| !is_cleared(crash, at));
+        self.crashes.len() < before
+    }
+
+    /// Number of crashes at different times.
+    pub fn moments(&self) -> usize {
+        count_moments(self.crashes.iter())
+    }
+}
+
+fn is_cleared(crash: &UpstreamCrash, sound: MonoTime) -> bool {
+    crash.at <= sound + SOUND_MARGIN
+}
+
+/// Number of crashes at least [`CRASH_SPACING`] apart; `crashes` are in order of time.
+pub fn count_moments<'a, I: Iterator<Item = &'a UpstreamCrash>>(crashes: I) -> usize {
+    let mut moments = 0;
+    let mut counted = MonoTime::default();
+    for crash in crashes {
+        if moments == 0 || crash.at.since(counted) >= CRASH_SPACING {
+            moments += 1;
+            counted = crash.at;
+        }
+    }
+    moments
+}
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -43,6 +43,8 @@
     pub upstreams: IntGauge,
     /// Number of routers that are up.
     pub routers: IntGauge,
+    /// Number of prompt parts whose calls are held back.
+    pub parts_held: IntGauge,
     /// Number of calls in progress.
     pub calls_open: IntGauge,
     /// Number of idle connections to upstreams.
@@ -114,6 +116,7 @@
             store_reader: gauge("store_reader", "Whether this router reads the store itself")?,
             upstreams: gauge("upstreams", "Known upstreams")?,
             routers: gauge("routers", "Routers that are up")?,
+            parts_held: gauge("parts_held", "Prompt parts whose calls are held back")?,
             calls_open: gauge("calls_open", "Calls in progress")?,
             idle_links: gauge("idle_links", "Idle connections to upstreams")?,
             registry,
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -7,10 +7,12 @@
 
 use hawthornrouter::dialect::LoadReport;
 use hawthornrouter::fleet::member_table::{GOSSIP_PERIOD, MemberRecord, MemberStage, MemberTable};
-use hawthornrouter::gossip::frames::{HeartbeatFrame, LoadColumns, MemberColumns};
-use hawthornrouter::ids::{DataCenterTag, IncarnationId};
+use hawthornrouter::gossip::frames::{HeartbeatFrame, MemberColumns};
+use hawthornrouter::ids::{DataCenterTag, IncarnationId, PartTag};
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::{LatestLoads, UpstreamLoad, UpstreamTag};
+use hawthornrouter::policy::part_reports::PartReports;
+use hawthornrouter::policy::suspect_parts::SuspectParts;
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -218,17 +220,34 @@
                 at: fleet.now.saturating_sub(Duration::from_millis(500)),
             });
         }
-        let frame = HeartbeatFrame {
+        let mut suspects = SuspectParts::default();
+        let recent = fleet.now.saturating_sub(Duration::from_secs(4));
+        for number in 0..20 {
+            let parts = [PartTag(u64::MAX - number)];
+            suspects.record_crash(&parts, UpstreamTag(u32::MAX), recent);
+            suspects.record_sound(&[PartTag(u64::MAX)], recent);
+        }
+        let parts = suspects.reports(fleet.now, &mut fleet.rng);
+        assert_eq!((parts.crashes.len(), parts.sound.len()), (3, 1));
+        let mut frame = HeartbeatFrame {
             members: Some(members),
             config_version: 1 << 20,
             store_revision: 1 << 40,
-            loads: Some(LoadColumns::new(&loads.busiest(fleet.now), fleet.now)),
+            loads: None,
             store_age_ms: Some(10_000),
+            parts: None,
+        };
+        let without_parts = {
+            let mut frame = frame.clone();
+            frame.set_reports(loads.busiest(fleet.now), &PartReports::default(), fleet.now);
+            frame.encoded_len()
         };
+        frame.set_reports(loads.busiest(fleet.now), &parts, fleet.now);
+        let length = without_parts.max(frame.encoded_len());
         // Each round sends three heartbeats to members and sometimes one to a seed, with 28 bytes
         // of UDP and IP headers each.
         let rounds_per_second = 1.0 / GOSSIP_PERIOD.as_secs_f64();
-        let bytes = rounds_per_second * 3.25 * (frame.encoded_len() + 28) as f64;
+        let bytes = rounds_per_second * 3.25 * (length + 28) as f64;
         assert!(bytes <= 5000.0, "{routers} routers: {bytes} B/s");
         println!(
             "{routers} routers: {} records, {bytes:.0} B/s",
