Let scripted engines close connections again

The copies of sockets that a crash needs kept every connection open after ScriptStep::Close and Reset. Found by broken_connections_hold_nothing (504 where 502 was due). The copy is now dropped with the connection.

--- a/standins/src/scripted_engine.rs
+++ b/standins/src/scripted_engine.rs
@@ -1,5 +1,6 @@
 //! An engine that responds to each request as a script says, and records the requests it received.
 
+use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
@@ -113,8 +114,8 @@
 pub struct ScriptedEngine {
     pub address: SocketAddr,
     record: Arc<(Mutex<EngineRecord>, Condvar)>,
-    /// The listener, followed by all connections.
-    sockets: Arc<Mutex<Vec<Socket>>>,
+    /// The open connections by their numbers, and the listener.
+    sockets: Arc<Mutex<HashMap<Option<usize>, Socket>>>,
 }
 
 impl ScriptedEngine {
@@ -129,19 +130,24 @@
             record: Arc::default(),
             sockets: Arc::default(),
         };
-        engine.keep(&SockRef::from(&listener));
+        engine.keep(None, &SockRef::from(&listener));
         let script = Arc::new(script);
         let shared = engine.clone();
         thread::spawn(move || {
             while let Ok((socket, _)) = listener.accept() {
-                shared.keep(&SockRef::from(&socket));
                 let connection = shared.with_record(|record| {
                     record.connections += 1;
                     record.connections - 1
                 });
+                shared.keep(Some(connection), &SockRef::from(&socket));
                 let shared = shared.clone();
                 let script = Arc::clone(&script);
-                thread::spawn(move || shared.serve(socket, connection, script.as_ref()));
+                thread::spawn(move || {
+                    let socket = shared.serve(socket, connection, script.as_ref());
+                    // The connection closes when its last descriptor does.
+                    shared.forget(connection);
+                    drop(socket);
+                });
             }
         });
         engine
@@ -168,15 +174,20 @@
         self.await_record(|record| record.closed_by_caller >= count);
     }
 
-    fn keep(&self, socket: &Socket) {
+    fn keep(&self, connection: Option<usize>, socket: &Socket) {
         let socket = socket.try_clone().expect("a descriptor is free");
         let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
-        sockets.push(socket);
+        sockets.insert(connection, socket);
+    }
+
+    fn forget(&self, connection: usize) {
+        let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
+        sockets.remove(&Some(connection));
     }
 
     fn crash(&self) {
         let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
-        for socket in sockets.drain(..) {
+        for (_, socket) in sockets.drain() {
             // Fails if the caller has closed the connection already.
             let _ = socket.shutdown(Shutdown::Both);
         }
@@ -202,12 +213,13 @@
         result
     }
 
-    fn serve<F>(&self, mut socket: TcpStream, connection: usize, script: &F)
+    /// Serves a connection and returns its socket when it is to be closed.
+    fn serve<F>(&self, mut socket: TcpStream, connection: usize, script: &F) -> TcpStream
     where
         F: Fn(&ReceivedRequest) -> EngineScript,
     {
         let Ok(reader) = socket.try_clone() else {
-            return;
+            return socket;
         };
         let mut reader = BufReader::new(reader);
         let mut request_number = 0;
@@ -251,10 +263,11 @@
                     }
                 };
                 if !continues {
-                    return;
+                    return socket;
                 }
             }
         }
+        socket
     }
 }
 
