Announce a hold to other routers at once, and let them object before it begins

Late: with 25 to 300 routers up to 28 calls with the crashing part reached upstreams after the time allowed (3), since two or three crash reports in a heartbeat spread slowly, and since the eight crashes in memory could lie too close together to count as three. Wrong: while a fifth of the upstreams failed every two seconds, or two a second one after the other, routers held parts that others had answered since.

A router now sends the evidence of a new hold to four others at once, which pass it on when they learn of it. The hold begins half a second later. A router that knows of an answer after the crashes replies with it, and the hold does not begin. Of more than eight crashes the one closest to another is dropped. Of several explanations, parts that were never answered come first. Heartbeats carry two crashes and two answers; an answer is news again when somebody reports a crash that it clears.

--- a/src/fleet/member_table.rs
+++ b/src/fleet/member_table.rs
@@ -254,6 +254,15 @@
         local.sample(rng, NOTICE_FANOUT).copied().collect()
     }
 
+    /// Up to [`NOTICE_FANOUT`] live members of any data centre, drawn at random.
+    pub fn any_targets<R: Rng>(&self, now: MonoTime, rng: &mut R) -> Vec<Ipv4Addr> {
+        let known = self.views.keys().copied();
+        let live: Vec<Ipv4Addr> = known
+            .filter(|&address| self.is_live(address, now))
+            .collect();
+        live.sample(rng, NOTICE_FANOUT).copied().collect()
+    }
+
     /// Whether a heartbeat of the member was received within the time limit.
     pub fn is_live(&self, address: Ipv4Addr, now: MonoTime) -> bool {
         let limit = self.down_after();
--- a/src/forward/front_call/crash_check.rs
+++ b/src/forward/front_call/crash_check.rs
@@ -10,7 +10,7 @@
 use crate::dialect::EdgeDialect;
 use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::policy::call_attempts::{AttemptFault, CallFailure};
-use crate::policy::suspect_parts::PartDecision;
+use crate::policy::suspect_parts::{PartDecision, part_time};
 
 /// Timeout of the connection attempt after a broken call. A VM whose process has ended refuses
 /// within a round trip.
@@ -26,7 +26,7 @@
         if fault != AttemptFault::Broken || self.is_sound || self.parts.is_empty() {
             return;
         }
-        let broken_at = self.state.now();
+        let broken_at = part_time(self.state.now());
         let connect = timeout(CHECK_TIMEOUT, TcpStream::connect(entry.address)).await;
         let refused =
             matches!(connect, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
@@ -47,7 +47,7 @@
     /// Records that the answer goes on after its first events, or is complete.
     pub(super) fn record_sound(&mut self) {
         if !std::mem::replace(&mut self.is_sound, true) && !self.parts.is_empty() {
-            let now = self.state.now();
+            let now = part_time(self.state.now());
             let mut suspects = self.state.board.suspect_parts();
             suspects.record_sound(&self.parts, now);
         }
@@ -55,7 +55,7 @@
 
     /// Returns the failure to report if a part of the prompt is held.
     pub(super) fn find_hold(&self) -> Option<CallFailure> {
-        let now = self.state.now();
+        let now = part_time(self.state.now());
         match self.state.decide_parts(&self.parts, now) {
             PartDecision::Send => None,
             PartDecision::Trial(held) => {
--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -102,8 +102,8 @@
             received = gossip.recv_from(&mut datagram) => {
                 let Ok((bytes, sender)) = received else { continue };
                 let reply = state.borrow_mut().merge_heartbeat(&datagram[..bytes]);
-                if reply {
-                    send_heartbeats(&gossip, &state, &[sender]).await;
+                if let Some(frame) = reply {
+                    send_frame(&gossip, &frame, &[sender]).await;
                 }
             }
             _ = ticks.tick() => {
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -20,10 +20,10 @@
 use crate::forward_control::SettingsSource;
 use crate::forward_control::store_task::{StoreCommand, StoreEvent};
 use crate::forward_settings::ForwardSettings;
-use crate::gossip::frames::{HeartbeatFrame, MemberColumns};
+use crate::gossip::frames::{HeartbeatFrame, MemberColumns, PartColumns};
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::locate_choice::RouterPlace;
-use crate::policy::suspect_parts::PartChange;
+use crate::policy::suspect_parts::{PartChange, part_time};
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
 
 /// Time between two ticks above which the process counts as paused: its cached state is then older
@@ -132,7 +132,10 @@
             }
         }
         let loads = self.board.load_reports().busiest(now);
-        let parts = self.board.suspect_parts().reports(now, &mut rand::rng());
+        let parts = self
+            .board
+            .suspect_parts()
+            .reports(part_time(now), &mut rand::rng());
         frame.set_reports(loads, &parts, now);
         frame.encode_to_vec()
     }
@@ -156,31 +159,38 @@
     /// to.
     pub fn take_notice(&mut self) -> Option<(Vec<u8>, Vec<SocketAddr>)> {
         let revision = self.store_view.revision();
-        if revision <= self.noticed {
+        let parts = self.board.suspect_parts().take_notice();
+        if revision <= self.noticed && parts.is_empty() {
             return None;
         }
-        self.noticed = revision;
         let now = self.now();
-        let targets = self.members.notice_targets(now, &mut rand::rng());
+        let mut frame = self.notice_frame(now);
+        let mut targets = Vec::new();
+        if revision > self.noticed {
+            self.noticed = revision;
+            targets = self.members.notice_targets(now, &mut rand::rng());
+        }
+        if !parts.is_empty() {
+            frame.parts = Some(PartColumns::new(&parts, part_time(now)));
+            targets.extend(self.members.any_targets(now, &mut rand::rng()));
+        }
         let targets = targets
             .into_iter()
             .map(|address| self.gossip_address(address))
             .collect();
-        Some((self.notice_frame(now).encode_to_vec(), targets))
+        Some((frame.encode_to_vec(), targets))
     }
 
-    /// Merges a heartbeat. Returns true if the sender was not a live member before, so that a
-    /// heartbeat is sent back at once.
-    pub fn merge_heartbeat(&mut self, bytes: &[u8]) -> bool {
+    /// Merges a heartbeat. Returns the frame to send back at once, if there is one: a heartbeat if
+    /// the sender was not a live member before, or what speaks against its reports.
+    pub fn merge_heartbeat(&mut self, bytes: &[u8]) -> Option<Vec<u8>> {
         let now = self.now();
         let Ok(frame) = HeartbeatFrame::decode(bytes) else {
             spdlog::info!("heartbeat-unreadable", kv: { bytes: = bytes.len() });
-            return false;
+            return None;
         };
         let mut records = frame.members.iter().flat_map(MemberColumns::records);
-        let Some((sender, _)) = records.next() else {
-            return false;
-        };
+        let (sender, _) = records.next()?;
         let new = !self.members.is_live(sender.address, now);
         let mut changed = self.members.merge_heartbeat(sender, now);
         for (record, age) in records {
@@ -190,10 +200,10 @@
             let mut reports = self.board.load_reports();
             loads.reports(now).for_each(|report| reports.merge(report));
         }
-        if let Some(parts) = &frame.parts {
-            let reports = parts.reports(now);
-            self.board.suspect_parts().merge(&reports, now);
-        }
+        let objections = frame.parts.as_ref().map(|parts| {
+            let reports = parts.reports(part_time(now));
+            self.board.suspect_parts().merge(&reports, part_time(now))
+        });
         if changed {
             spdlog::info!("member-changed", kv: {
                 member: = sender.address, stage:? = sender.stage, new: = new
@@ -205,7 +215,13 @@
             self.store_role.record_report(report, revision, now);
         }
         self.record_newer_peer(&sender, &frame);
-        new
+        if new {
+            return Some(self.encode_heartbeat());
+        }
+        let objections = objections.filter(|objections| !objections.is_empty())?;
+        let mut reply = self.notice_frame(now);
+        reply.parts = Some(PartColumns::new(&objections, part_time(now)));
+        Some(reply.encode_to_vec())
     }
 
     /// Merges a report of the task that follows the store.
@@ -341,7 +357,7 @@
         }
         let effect = self.store_view.tick(now);
         self.publish(effect);
-        self.update_suspect_parts(now);
+        self.update_suspect_parts(part_time(now));
         let targets = self.members.begin_round(now, &mut rand::rng());
         self.publish_members(now);
         let calls = self.board.calls.load(Ordering::Relaxed);
@@ -367,7 +383,7 @@
     fn update_suspect_parts(&self, now: MonoTime) {
         let mut suspects = self.board.suspect_parts();
         suspects.remove_expired(now);
-        for change in suspects.take_changes() {
+        for change in suspects.take_changes(now) {
             match change {
                 PartChange::Held(held) => spdlog::warn!("part-held", kv: {
                     part: = held.part, crashes: = held.crashes,
@@ -378,7 +394,7 @@
                 PartChange::Released(part) => spdlog::info!("part-released", kv: { part: = part }),
             }
         }
-        set_count(&self.telemetry.parts_held, suspects.held().count());
+        set_count(&self.telemetry.parts_held, suspects.held(now).count());
     }
 
     /// Decides again whether this router reads the store. A booting router always does.
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -15,6 +15,7 @@
 use crate::mono::MonoTime;
 use crate::policy::latest_loads::{MAX_HEARTBEAT_REPORTS, UpstreamLoad, UpstreamTag};
 use crate::policy::part_reports::{CrashReport, PartReports, SoundReport};
+use crate::policy::suspect_parts::part_time;
 
 /// Membership records in a heartbeat. Each member has the same index in all columns.
 #[derive(Clone, PartialEq, Message)]
@@ -129,12 +130,12 @@
 /// Unit of the ages of reports about prompt parts, in milliseconds.
 const PART_AGE_MS: u64 = 10;
 
-fn part_age(at: MonoTime, now: MonoTime) -> u32 {
+fn age_of_time(at: MonoTime, now: MonoTime) -> u32 {
     let age = now.since(at).as_millis() / u128::from(PART_AGE_MS);
     u32::try_from(age).unwrap_or(u32::MAX)
 }
 
-fn part_time(age: u32, now: MonoTime) -> MonoTime {
+fn time_of_age(age: u32, now: MonoTime) -> MonoTime {
     now.saturating_sub(Duration::from_millis(PART_AGE_MS * u64::from(age)))
 }
 
@@ -160,7 +161,7 @@
 }
 
 impl PartColumns {
-    /// Converts reports to columns, with their ages at `now`.
+    /// Converts reports to columns, with their ages at `now`, a time of the clock of [`part_time`].
     pub fn new(reports: &PartReports, now: MonoTime) -> Self {
         let (crashes, sound) = (&reports.crashes, &reports.sound);
         Self {
@@ -168,17 +169,17 @@
             crash_upstreams: crashes.iter().map(|report| report.upstream.0).collect(),
             crash_ages: crashes
                 .iter()
-                .map(|report| part_age(report.at, now))
+                .map(|report| age_of_time(report.at, now))
                 .collect(),
             sound_parts: sound.iter().map(|report| report.part.0).collect(),
             sound_ages: sound
                 .iter()
-                .map(|report| part_age(report.at, now))
+                .map(|report| age_of_time(report.at, now))
                 .collect(),
         }
     }
 
-    /// Converts the columns to reports, with times of the local clock, which is at `now`.
+    /// Converts the columns to reports, with times of the clock of [`part_time`], which is at `now`.
     pub fn reports(&self, now: MonoTime) -> PartReports {
         let crashes = self.crash_parts.iter().zip(&self.crash_upstreams);
         let sound = self.sound_parts.iter().zip(&self.sound_ages);
@@ -188,13 +189,13 @@
                 .map(|((&part, &upstream), &age)| CrashReport {
                     part: PartTag(part),
                     upstream: UpstreamTag(upstream),
-                    at: part_time(age, now),
+                    at: time_of_age(age, now),
                 })
                 .collect(),
             sound: sound
                 .map(|(&part, &age)| SoundReport {
                     part: PartTag(part),
-                    at: part_time(age, now),
+                    at: time_of_age(age, now),
                 })
                 .collect(),
         }
@@ -237,7 +238,7 @@
         if !parts.is_empty() {
             let displaced = 1 + LOADS_PER_PART_REPORT * parts.len();
             loads.truncate(MAX_HEARTBEAT_REPORTS.saturating_sub(displaced));
-            self.parts = Some(PartColumns::new(parts, now));
+            self.parts = Some(PartColumns::new(parts, part_time(now)));
         }
         self.loads = Some(LoadColumns::new(&loads, now));
     }
--- a/src/policy/part_history.rs
+++ b/src/policy/part_history.rs
@@ -43,6 +43,9 @@
     sound_at: Option<MonoTime>,
     /// Time of the latest crash that was reported, whether or not an answer has cleared the part.
     last_report: MonoTime,
+    /// When other routers should hear of the part again: its history changed, or another router has
+    /// not heard of the latest answer.
+    news_at: MonoTime,
 }
 
 impl PartHistory {
@@ -61,32 +64,67 @@
         self.last_report
     }
 
-    /// Adds a crash unless it is known or the part was answered after it. Returns whether the
-    /// history has changed.
-    pub fn add_crash(&mut self, crash: UpstreamCrash) -> bool {
+    /// When there was news for other routers.
+    pub fn news_at(&self) -> MonoTime {
+        self.news_at
+    }
+
+    /// Adds a crash that was reported at `now`, unless it is known or the part was answered after
+    /// it. Returns whether the history has changed.
+    pub fn add_crash(&mut self, crash: UpstreamCrash, now: MonoTime) -> bool {
         self.last_report = self.last_report.max(crash.at);
-        let cleared = self.sound_at.is_some_and(|sound| is_cleared(&crash, sound));
-        if cleared || self.crashes.iter().any(|known| known.is_same(&crash)) {
+        if self.sound_at.is_some_and(|sound| is_cleared(&crash, sound)) {
+            self.news_at = now;
             return false;
         }
+        if self.crashes.iter().any(|known| known.is_same(&crash)) {
+            return false;
+        }
+        self.news_at = now;
         let index = self.crashes.partition_point(|known| known.at <= crash.at);
         self.crashes.insert(index, crash);
         if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
+            self.remove_closest();
         }
         true
     }
 
-    /// Records an answer, which clears the part of earlier crashes. Returns whether crashes were
-    /// removed.
-    pub fn record_sound(&mut self, at: MonoTime) -> bool {
+    /// Removes the crash that follows another one soonest, so that those that remain are as far apart
+    /// as possible.
+    fn remove_closest(&mut self) {
+        let gap = |&index: &usize| self.crashes[index].at.since(self.crashes[index - 1].at);
+        let closest = (1..self.crashes.len()).min_by_key(gap);
+        closest.map(|index| self.crashes.remove(index));
+    }
+
+    /// Records an answer that was reported at `now` and clears the part of earlier crashes. Returns
+    /// whether crashes were removed.
+    pub fn record_sound(&mut self, at: MonoTime, now: MonoTime) -> bool {
         if self.sound_at.is_some_and(|known| known >= at) {
             return false;
         }
         self.sound_at = Some(at);
         let before = self.crashes.len();
         self.crashes.retain(|crash| !is_cleared(crash, at));
-        self.crashes.len() < before
+        let changed = self.crashes.len() < before;
+        if changed {
+            self.news_at = now;
+        }
+        changed
+    }
+
+    /// The latest crashes at different times, at most `count`.
+    pub fn latest_moments(&self, count: usize) -> Vec<UpstreamCrash> {
+        let mut latest: Vec<UpstreamCrash> = Vec::new();
+        for crash in self.crashes.iter().rev() {
+            let apart = latest
+                .last()
+                .is_none_or(|last| last.at.since(crash.at) >= CRASH_SPACING);
+            if apart && latest.len() < count {
+                latest.push(*crash);
+            }
+        }
+        latest
     }
 
     /// Number of crashes at different times.
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -12,7 +12,7 @@
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::{LatestLoads, UpstreamLoad, UpstreamTag};
 use hawthornrouter::policy::part_reports::PartReports;
-use hawthornrouter::policy::suspect_parts::SuspectParts;
+use hawthornrouter::policy::suspect_parts::{SuspectParts, part_time};
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -221,14 +221,16 @@
             });
         }
         let mut suspects = SuspectParts::default();
-        let recent = fleet.now.saturating_sub(Duration::from_secs(4));
+        let now = part_time(fleet.now);
+        let recent = now.saturating_sub(Duration::from_secs(4));
         for number in 0..20 {
             let parts = [PartTag(u64::MAX - number)];
             suspects.record_crash(&parts, UpstreamTag(u32::MAX), recent);
-            suspects.record_sound(&[PartTag(u64::MAX)], recent);
+            suspects.record_crash(&[PartTag(number)], UpstreamTag(u32::MAX), recent);
+            suspects.record_sound(&[PartTag(number)], recent);
         }
-        let parts = suspects.reports(fleet.now, &mut fleet.rng);
-        assert_eq!((parts.crashes.len(), parts.sound.len()), (3, 1));
+        let parts = suspects.reports(now, &mut fleet.rng);
+        assert_eq!((parts.crashes.len(), parts.sound.len()), (2, 2));
         let mut frame = HeartbeatFrame {
             members: Some(members),
             config_version: 1 << 20,
--- /dev/null
+++ b/tests/suspect_parts.rs
@@ -0,0 +1,285 @@
+//! Guards against holds of prompt parts that crash nothing, and against parts that crash upstreams
+//! and are not held.
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use hawthornrouter::ids::PartTag;
+use hawthornrouter::mono::MonoTime;
+use hawthornrouter::policy::latest_loads::UpstreamTag;
+use hawthornrouter::policy::part_reports::{CrashReport, PartReports, SoundReport};
+use hawthornrouter::policy::suspect_parts::{PartChange, PartDecision, SuspectParts};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const SHARED: PartTag = PartTag(1);
+const OTHER: PartTag = PartTag(2);
+const BAD: PartTag = PartTag(0xdead);
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime(Duration::from_millis(1_000_000 + ms))
+}
+
+fn router(index: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, index)
+}
+
+/// Decides about a call at the only router of a fleet.
+fn decide(suspects: &mut SuspectParts, parts: &[PartTag], ms: u64) -> PartDecision {
+    suspects.decide(parts, router(1), [router(1)].into_iter(), at(ms))
+}
+
+fn is_held(suspects: &mut SuspectParts, part: PartTag, ms: u64) -> bool {
+    matches!(
+        decide(suspects, &[part], ms),
+        PartDecision::Hold { .. } | PartDecision::Trial(_)
+    )
+}
+
+/// Crashes of `count` upstreams under calls with `parts`, half a second apart.
+fn crash(suspects: &mut SuspectParts, parts: &[PartTag], count: u32, from_ms: u64) {
+    for number in 0..count {
+        let ms = from_ms + 500 * u64::from(number);
+        suspects.record_crash(parts, UpstreamTag(from_ms as u32 + number), at(ms));
+    }
+}
+
+proptest! {
+    #[test]
+    fn part_at_any_position_is_held(count in 1u64..10, position in 0usize..10) {
+        let mut parts: Vec<PartTag> = (1..=count).map(PartTag).collect();
+        let mut suspects = SuspectParts::default();
+        suspects.record_sound(&parts, at(0));
+        parts.insert(position.min(parts.len()), BAD);
+        crash(&mut suspects, &parts, 3, 2000);
+        prop_assert!(is_held(&mut suspects, BAD, 3501));
+        for part in (1..=count).map(PartTag) {
+            prop_assert!(!is_held(&mut suspects, part, 3501), "{part} is held");
+        }
+    }
+}
+
+#[test]
+fn two_crashing_parts() {
+    let second = PartTag(0xbad);
+    let mut suspects = SuspectParts::default();
+    suspects.record_sound(&[SHARED], at(0));
+    crash(&mut suspects, &[SHARED, BAD], 3, 2000);
+    crash(&mut suspects, &[SHARED, second], 3, 2250);
+    assert!(is_held(&mut suspects, BAD, 4000));
+    assert!(is_held(&mut suspects, second, 4000));
+    assert!(!is_held(&mut suspects, SHARED, 4000));
+}
+
+#[test]
+fn part_that_was_sound_before() {
+    let mut suspects = SuspectParts::default();
+    suspects.record_sound(&[BAD], at(0));
+    crash(&mut suspects, &[BAD], 5, 200);
+    assert!(is_held(&mut suspects, BAD, 2800));
+}
+
+#[test]
+fn answers_clear_parts() {
+    // Just before the last crash, beside it, and after it.
+    for sound_ms in [2200, 3000, 3600] {
+        let mut suspects = SuspectParts::default();
+        for (ms, upstream) in [(2000, 1), (2500, 2), (3000, 3)] {
+            if sound_ms <= ms {
+                suspects.record_sound(&[SHARED], at(sound_ms));
+            }
+            suspects.record_crash(&[SHARED], UpstreamTag(upstream), at(ms));
+        }
+        suspects.record_sound(&[SHARED], at(sound_ms));
+        assert!(!is_held(&mut suspects, SHARED, 4000), "sound at {sound_ms}");
+    }
+}
+
+#[test]
+fn calls_beside_crashing_part() {
+    // Calls with `OTHER` were at each crashed upstream too, but not in every crash.
+    let mut suspects = SuspectParts::default();
+    for number in 0..5 {
+        let ms = 2000 + 500 * u64::from(number);
+        suspects.record_crash(&[BAD], UpstreamTag(number), at(ms));
+        if number < 4 {
+            suspects.record_crash(&[OTHER], UpstreamTag(number), at(ms));
+        }
+    }
+    assert!(is_held(&mut suspects, BAD, 5000));
+    assert!(!is_held(&mut suspects, OTHER, 5000));
+}
+
+#[test]
+fn upstreams_that_fail_together() {
+    let mut suspects = SuspectParts::default();
+    for number in 0..40 {
+        let ms = 2000 + 5 * u64::from(number);
+        suspects.record_crash(&[SHARED, OTHER], UpstreamTag(number), at(ms));
+    }
+    assert!(!is_held(&mut suspects, SHARED, 3000));
+    assert!(!is_held(&mut suspects, OTHER, 3000));
+}
+
+#[test]
+fn one_crash_seen_by_many() {
+    // Several calls of one upstream, and the same crash as other routers saw it.
+    let mut suspects = SuspectParts::default();
+    for ms in [2000, 2001, 2400, 2800, 3300] {
+        suspects.record_crash(&[OTHER], UpstreamTag(7), at(ms));
+    }
+    assert!(!is_held(&mut suspects, OTHER, 4000));
+}
+
+#[test]
+fn hold_doubles_after_failed_trial() {
+    let mut suspects = SuspectParts::default();
+    crash(&mut suspects, &[BAD], 3, 0);
+    let PartDecision::Hold { held, retry_after } = decide(&mut suspects, &[SHARED, BAD], 2000)
+    else {
+        panic!("not held");
+    };
+    assert_eq!((held.part, held.crashes), (BAD, 3));
+    assert_eq!(retry_after, Duration::from_secs(59));
+    let PartDecision::Trial(_) = decide(&mut suspects, &[BAD], 62_000) else {
+        panic!("no trial");
+    };
+    // Only one call is sent.
+    let second = decide(&mut suspects, &[BAD], 62_010);
+    assert!(matches!(second, PartDecision::Hold { .. }), "{second:?}");
+    suspects.record_crash(&[BAD], UpstreamTag(99), at(62_100));
+    let PartDecision::Hold { retry_after, .. } = decide(&mut suspects, &[BAD], 62_100) else {
+        panic!("not held");
+    };
+    assert_eq!(retry_after, Duration::from_mins(2));
+}
+
+#[test]
+fn second_appearance_after_quiet_minute() {
+    let mut suspects = SuspectParts::default();
+    crash(&mut suspects, &[BAD], 5, 0);
+    for minute in 1..10 {
+        suspects.remove_expired(at(60_000 * minute));
+    }
+    // One trial of the whole fleet is due, and nothing more.
+    let sent = (0..100).filter(|call| {
+        let decision = decide(&mut suspects, &[BAD], 600_000 + call);
+        !matches!(decision, PartDecision::Hold { .. })
+    });
+    assert_eq!(sent.count(), 1);
+}
+
+#[test]
+fn answered_trial_ends_hold() {
+    let mut suspects = SuspectParts::default();
+    crash(&mut suspects, &[BAD], 3, 0);
+    let changes = suspects.take_changes(at(60_000));
+    assert!(matches!(changes[..], [PartChange::Held(held)] if held.part == BAD));
+    suspects.record_sound(&[BAD], at(70_000));
+    assert_eq!(decide(&mut suspects, &[BAD], 70_001), PartDecision::Send);
+    let changes = suspects.take_changes(at(70_001));
+    assert_eq!(changes, [PartChange::Released(BAD)]);
+}
+
+#[test]
+fn one_router_tries() {
+    let mut suspects = SuspectParts::default();
+    crash(&mut suspects, &[BAD], 3, 0);
+    for minute in 0..5 {
+        let ms = 61_500 + 60_000 * minute;
+        let trials = (1..=200).filter(|&index| {
+            let routers = (1..=200).map(router);
+            let decision = suspects
+                .clone()
+                .decide(&[BAD], router(index), routers, at(ms));
+            matches!(decision, PartDecision::Trial(_))
+        });
+        assert_eq!(trials.count(), 1, "minute {minute}");
+    }
+}
+
+#[test]
+fn call_of_second_crash_is_not_repeated() {
+    let mut suspects = SuspectParts::default();
+    let parts = [SHARED, BAD];
+    crash(&mut suspects, &parts, 1, 0);
+    assert!(suspects.may_repeat(&parts));
+    crash(&mut suspects, &parts, 1, 500);
+    assert!(!suspects.may_repeat(&parts));
+    assert!(suspects.may_repeat(&[OTHER]));
+}
+
+#[test]
+fn old_reports_do_not_revive_hold() {
+    let mut suspects = SuspectParts::default();
+    crash(&mut suspects, &[BAD], 3, 0);
+    let stale = suspects.clone();
+    suspects.record_sound(&[BAD], at(5000));
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for round in 0..50 {
+        let reports = stale.reports(at(5000 + 250 * round), &mut rng);
+        suspects.merge(&reports, at(5000 + 250 * round));
+        assert!(!is_held(&mut suspects, BAD, 5000 + 250 * round));
+    }
+}
+
+#[test]
+fn reports_of_others_count() {
+    let mut suspects = SuspectParts::default();
+    let report = |upstream, ms| CrashReport {
+        part: BAD,
+        upstream: UpstreamTag(upstream),
+        at: at(ms),
+    };
+    let crashes = PartReports {
+        crashes: vec![report(1, 0), report(2, 500), report(3, 1000)],
+        sound: Vec::new(),
+    };
+    suspects.merge(&crashes, at(1200));
+    assert!(!is_held(&mut suspects, BAD, 1600), "no time to object");
+    assert!(is_held(&mut suspects, BAD, 1700));
+    let sound = PartReports {
+        crashes: Vec::new(),
+        sound: vec![SoundReport {
+            part: BAD,
+            at: at(1100),
+        }],
+    };
+    suspects.merge(&sound, at(1800));
+    assert!(!is_held(&mut suspects, BAD, 1800));
+}
+
+/// Memory of [`SuspectParts`] is at most 4,096 parts with crashes and 16,384 that were answered.
+#[test]
+fn memory_is_bounded() {
+    let mut suspects = SuspectParts::default();
+    crash(&mut suspects, &[BAD], 3, 0);
+    for part in 0..1_000_000 {
+        suspects.record_sound(&[PartTag(1 << 32 | part)], at(2000));
+    }
+    for part in 0..20_000u64 {
+        let parts = [PartTag(1 << 40 | part)];
+        suspects.record_crash(&parts, UpstreamTag(part as u32), at(2000 + part));
+    }
+    assert!(suspects.remembered() <= 4096 + 2 * 8192);
+    assert!(
+        is_held(&mut suspects, BAD, 22_000),
+        "others displace the part"
+    );
+}
+
+#[test]
+fn objection_to_announced_hold() {
+    // One router has seen the crashes, the other an answer after them.
+    let mut accuser = SuspectParts::default();
+    let mut witness = SuspectParts::default();
+    witness.record_sound(&[SHARED], at(2000));
+    crash(&mut accuser, &[SHARED], 3, 1000);
+    let announcement = accuser.take_notice();
+    assert_eq!(announcement.crashes.len(), 3);
+    let objection = witness.merge(&announcement, at(2010));
+    assert_eq!(objection.sound.len(), 1);
+    accuser.merge(&objection, at(2020));
+    assert!(!is_held(&mut accuser, SHARED, 3000));
+}
