Keep the times of crashes that are older than the process

A router that restarted took all crashes that its peers reported for one moment, the start of its clock, and sent calls with a held part until its peers' reports were of crashes after its start: other_routers_hold_part waited 30 s in vain. The test passes.

--- a/src/policy/suspect_parts.rs
+++ b/src/policy/suspect_parts.rs
@@ -62,9 +62,10 @@
 /// Number of parts in a notice.
 const MAX_NOTICE_PARTS: usize = 8;
 
-/// Converts a time of this router to the clock of [`SuspectParts`].
+/// Converts a time of this router to the clock of [`SuspectParts`]. That clock starts long before
+/// the process, whose peers report crashes that are older than it.
 pub fn part_time(now: MonoTime) -> MonoTime {
-    now
+    now + HELD_EXPIRY
 }
 
 /// A part that is held, with its evidence.
