Treat a stream without framing that ends before its first event as broken

An answer may have neither length nor chunks and end with its connection. If the engine crashed before the first event, the caller got an empty stream with status 200 that looked complete: unframed_streams end_before_first_event fails before (200 where 502 is due) and passes now; a route with attempts left gets the whole stream from another engine. The other cases of the test (complete, cut inside an event, reset after an event, no reuse of the connection) passed before as well.

--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::Request;
-use http::header::CONTENT_ENCODING;
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
 
 use super::FrontCall;
@@ -25,6 +25,11 @@
 /// accept queue.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Whether the end of a body is told from the end of its connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 impl<D: EdgeDialect> FrontCall<D> {
     /// Sends the call to an upstream and reads the full response, or the first events of a stream.
     pub(super) async fn attempt(
@@ -79,6 +84,10 @@
         };
         if parts.status.is_success() && self.plan.route.kind.streams() {
             let (first, ended) = self.read_events(&mut source, limits).await?;
+            if ended && !is_framed(&parts.headers) {
+                // A crash of the upstream looks the same.
+                return Err(AttemptFault::Broken);
+            }
             return Ok(UpstreamResponse::Stream(OpenStream {
                 status: parts.status,
                 headers: parts.headers,
