Log and count the rate limits that upstreams set

The routers read no limit from answers, and no log line told what a router knows. The limit is now read, logged when it changes (event=upstream-limit) and counted (hawthorn_upstreams_limited). Negative, infinite, repeated or unreadable values change nothing. No decision follows yet.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -13,6 +13,7 @@
 
 use crate::ids::{AccountId, DataCenterId, PartTag, UpstreamId};
 use crate::route::PriorityRank;
+use crate::units::RequestRate;
 
 /// One part of a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -121,6 +122,18 @@
     pub waiting: u32,
 }
 
+/// What an upstream's response says about a limit on the requests that it takes per second from all
+/// routers together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateStatement {
+    /// The upstream sets no limit, or no longer.
+    #[default]
+    Unlimited,
+    Limit(RequestRate),
+    /// The statement can't be read, so that what the upstream said before holds on.
+    Unreadable,
+}
+
 /// What the headers of an upstream's response contain.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseHead {
@@ -132,6 +145,7 @@
     pub stamped: bool,
     /// Load of the upstream at the response.
     pub load: Option<LoadReport>,
+    pub rate: RateStatement,
 }
 
 /// A caller's request for router addresses.
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -61,7 +61,7 @@
             .state
             .dialect
             .read_response_head(response.status(), response.headers());
-        self.state.record_response_head(guard.key, &head);
+        self.state.record_response_head(&guard.entry, &head);
         let repeatable = self.attempts.may_repeat() && self.state.affordable(&self.service);
         let summary = ResponseHeadSummary {
             status: response.status().as_u16(),
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -30,6 +31,7 @@
 use crate::policy::upstream_stats::UpstreamStats;
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
 use crate::route::RouteTable;
+use crate::units::RequestRate;
 
 /// Lowest copy speed between upstreams at which cached prompt parts are copied: several times the
 /// speed at which any engine computes them.
@@ -92,6 +94,18 @@
     }
 }
 
+/// Writes a limit as it appears in log lines.
+struct RateText(Option<RequestRate>);
+
+impl fmt::Display for RateText {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(rate) => rate.fmt(f),
+            None => f.write_str("none"),
+        }
+    }
+}
+
 /// Returns whether the upstreams of a service copy cached prompt parts from each other faster than
 /// they compute them.
 fn copy_is_faster(table: &RouteTable, service: &ServiceId) -> bool {
@@ -315,11 +329,21 @@
     }
 
     /// Records a response head from an upstream, and the load report in it.
-    pub fn record_response_head(&self, upstream: UpstreamKey, head: &ResponseHead) {
+    pub fn record_response_head(&self, entry: &UpstreamEntry, head: &ResponseHead) {
         let now = self.now();
+        let upstream = entry.id.key();
         let mut upstream_stats = self.upstream_stats.borrow_mut();
         let stats = upstream_stats.entry(upstream).or_default();
         stats.health.record_activity(now);
+        let mut rate_limits = self.board.rate_limits();
+        if rate_limits.record(upstream.into(), head.rate, now) {
+            spdlog::info!("upstream-limit", kv: {
+                upstream: = entry.id,
+                per_s: = RateText(rate_limits.limit(upstream.into())),
+                routers: = self.board.fleet_size.load(Ordering::Relaxed)
+            });
+        }
+        drop(rate_limits);
         if let Some(load) = head.load {
             stats.record_report(load, now);
             self.board.load_reports().merge(UpstreamLoad {
@@ -403,6 +427,10 @@
         self.upstream_stats
             .borrow_mut()
             .retain(|&key, stats| stats.own_calls > 0 || known(key));
+        let mut rate_limits = self.board.rate_limits();
+        rate_limits.retain(|tag| upstreams.iter().any(|entry| tag == entry.id.key().into()));
+        set_count(&self.telemetry.upstreams_limited, rate_limits.limited());
+        drop(rate_limits);
         self.prompt_load.borrow_mut().remove_idle(self.now());
         let mut pool = self.pool.borrow_mut();
         pool.sweep(self.now());
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -9,6 +9,7 @@
 use crate::forward_settings::ForwardSettings;
 use crate::policy::latest_loads::LatestLoads;
 use crate::policy::locate_choice::RouterPlace;
+use crate::policy::rate_limits::RateLimits;
 use crate::policy::suspect_parts::SuspectParts;
 use crate::route::RouteTable;
 
@@ -59,6 +60,7 @@
     pub calls: AtomicUsize,
     load_reports: Mutex<LatestLoads>,
     suspect_parts: Mutex<SuspectParts>,
+    rate_limits: Mutex<RateLimits>,
     stage: AtomicU8,
 }
 
@@ -75,6 +77,7 @@
             calls: AtomicUsize::new(0),
             load_reports: Mutex::default(),
             suspect_parts: Mutex::default(),
+            rate_limits: Mutex::default(),
             stage: AtomicU8::new(ForwardStage::Booting as u8),
         }
     }
@@ -93,6 +96,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the rate limits of upstreams. Both threads keep the lock only briefly.
+    pub fn rate_limits(&self) -> MutexGuard<'_, RateLimits> {
+        self.rate_limits
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub fn stage(&self) -> ForwardStage {
         ForwardStage::ALL[usize::from(self.stage.load(Ordering::Relaxed))]
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,6 +16,7 @@
 pub mod placement;
 pub mod prompt_load;
 pub mod rank_shares;
+pub mod rate_limits;
 pub mod recent_accounts;
 pub mod refusal;
 pub mod request_scheduler;
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -41,6 +41,8 @@
     pub store_reader: IntGauge,
     /// Number of known upstreams.
     pub upstreams: IntGauge,
+    /// Number of upstreams that limit the rate of requests.
+    pub upstreams_limited: IntGauge,
     /// Number of routers that are up.
     pub routers: IntGauge,
     /// Number of prompt parts whose calls are held back.
@@ -115,6 +117,10 @@
             )?,
             store_reader: gauge("store_reader", "Whether this router reads the store itself")?,
             upstreams: gauge("upstreams", "Known upstreams")?,
+            upstreams_limited: gauge(
+                "upstreams_limited",
+                "Upstreams that limit the rate of requests",
+            )?,
             routers: gauge("routers", "Routers that are up")?,
             parts_held: gauge("parts_held", "Prompt parts whose calls are held back")?,
             calls_open: gauge("calls_open", "Calls in progress")?,
--- a/src/units.rs
+++ b/src/units.rs
@@ -136,3 +136,46 @@
 }
 
 serde_as_text!(ShareRatio);
+
+/// A number of requests per second.
+///
+/// Invariant: finite and not negative.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Converts thousandths of a request per second.
+    pub fn from_milli(milli: u32) -> Self {
+        Self(f64::from(milli) / 1000.0)
+    }
+
+    /// Returns the rate in thousandths of a request per second, rounded down.
+    pub fn milli(self) -> u32 {
+        (self.0 * 1000.0) as u32
+    }
+
+    /// Returns the number of requests per second.
+    pub fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        let rate: Option<f64> = text.trim().parse().ok();
+        rate.filter(|rate| rate.is_finite() && *rate >= 0.0)
+            .map(Self)
+            .ok_or_else(|| ValueError::new(text, "a number of requests per second, such as 2.5"))
+    }
+}
+
+serde_as_text!(RequestRate);
