Keep the rate limits that upstreams set, over all routers together

Cause: no router read the limit. Class of fault: a statement of the other side that nobody obeys.

Change: each router keeps a token bucket for its share of a limit. With small limits only some routers have a share, the first in a rendezvous order on which all agree, so that the bursts of all shares stay within the bound. Every attempt takes a token: first ones, repeats, resumed streams, any rank. An upstream without a token is not chosen; the calls go to others of the service. If none is left the call is refused at once, not run, with the time until the next token as Retry-After. Heartbeats carry up to three limits, by the age of the statement, so that a withdrawn limit reaches routers that send nothing there; the latest statement wins.

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -80,7 +80,13 @@
                 return Err(failure);
             }
             let Some(guard) = self.choose_upstream() else {
-                return Err(self.attempts.exhausted(self.in_time()));
+                let limited = self.state.limit_wait(&self.service);
+                return Err(match limited {
+                    Some(wait) if self.in_time() => {
+                        self.attempts.refused(CallFailure::Limited(wait))
+                    }
+                    _ => self.attempts.exhausted(self.in_time()),
+                });
             };
             let started = self.state.now();
             let key = guard.key;
@@ -191,7 +197,12 @@
             .observe(spent.as_secs_f64());
         let is_success = outcome == "answered" && status < 500;
         // The line of a held call is `call-held`.
-        if outcome == "held" || (is_success && !self.state.may_log_call()) {
+        let is_unlogged = match outcome {
+            "held" => true,
+            "limited" => !self.state.may_log_refusal(),
+            _ => is_success && !self.state.may_log_call(),
+        };
+        if is_unlogged {
             return;
         }
         let first = self.first_event.unwrap_or_default().since(self.plan.began);
--- a/src/forward/front_call/crash_check.rs
+++ b/src/forward/front_call/crash_check.rs
@@ -75,7 +75,7 @@
                         verdict:? = self.attempts.verdict()
                     });
                 }
-                Some(self.attempts.held(retry_after))
+                Some(self.attempts.refused(CallFailure::Held(retry_after)))
             }
         }
     }
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -73,6 +73,10 @@
                 retry_after: Some(retry_after),
                 ..Self::not_run("a part of the prompt crashes upstreams")
             },
+            CallFailure::Limited(retry_after) => Self {
+                retry_after: Some(retry_after),
+                ..Self::not_run("the upstreams take no more requests now")
+            },
             CallFailure::Late => Self::new(
                 StatusCode::GATEWAY_TIMEOUT,
                 "no answer within the time limit",
@@ -278,6 +282,7 @@
         CallFailure::Unknown => "unknown",
         CallFailure::Late => "late",
         CallFailure::Held(_) => "held",
+        CallFailure::Limited(_) => "limited",
     }
 }
 
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -21,8 +22,9 @@
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::call_attempts::AttemptFault;
-use crate::policy::latest_loads::UpstreamLoad;
+use crate::policy::latest_loads::{UpstreamLoad, UpstreamTag};
 use crate::policy::prompt_load::PromptLoad;
+use crate::policy::rate_limits::{FleetPlace, RateLimits};
 use crate::policy::retry_window::RetryWindow;
 use crate::policy::suspect_parts::PartDecision;
 use crate::policy::upstream_choice::{
@@ -41,6 +43,12 @@
 /// the request for the copy.
 const MIN_COPY_TOKENS: u32 = 100;
 
+/// Value of `retry-after` if only other routers have a share of the limits of a service's upstreams.
+const OTHER_ROUTER_WAIT: Duration = Duration::from_millis(500);
+
+/// Minimum value of `retry-after` for a service whose upstreams set limits.
+const MIN_LIMIT_WAIT: Duration = Duration::from_millis(100);
+
 /// State of a traffic thread, shared by its calls.
 pub struct TrafficState<D> {
     /// Reads and writes the HTTP heads.
@@ -203,6 +211,7 @@
         let copy_source = prompt
             .filter(|prefix| prefix.tokens >= MIN_COPY_TOKENS && copy_is_faster(table, service))
             .and_then(|prefix| next_preferred(&candidates, prefix.hash, index));
+        self.with_rate_limits(|limits, place| limits.count(key.into(), place, now));
         let mut upstream_stats = self.upstream_stats.borrow_mut();
         upstream_stats.entry(key).or_default().own_calls += 1;
         Some(UpstreamGuard {
@@ -216,6 +225,52 @@
         })
     }
 
+    /// Calls `work` with the rate limits and this router's place in the fleet.
+    fn with_rate_limits<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut RateLimits, FleetPlace<'_>) -> T,
+    {
+        let routers = self.board.serving_routers.load();
+        let place = FleetPlace {
+            own: self.board.settings.load().address,
+            routers: &routers,
+            size: self.board.fleet_size.load(Ordering::Relaxed),
+        };
+        work(&mut self.board.rate_limits(), place)
+    }
+
+    /// Returns the upstreams among `members` whose limits allow this router no request now.
+    fn limited_upstreams(&self, members: &[&Arc<UpstreamEntry>]) -> Vec<UpstreamKey> {
+        let now = self.now();
+        self.with_rate_limits(|limits, place| {
+            if limits.is_empty() {
+                return Vec::new();
+            }
+            let keys = members.iter().map(|entry| entry.id.key());
+            let may_send = |key: UpstreamKey| {
+                let wait = limits.wait(key.into(), place, now);
+                wait.is_some_and(|wait| wait.is_zero())
+            };
+            keys.filter(|&key| !may_send(key)).collect()
+        })
+    }
+
+    /// Returns the time until a limit of an upstream of `service` allows another request, or `None`
+    /// if none of them sets a limit.
+    pub fn limit_wait(&self, service: &ServiceId) -> Option<Duration> {
+        let now = self.now();
+        let upstreams = self.board.upstreams.load();
+        let members = upstreams.iter().filter(|entry| entry.service == *service);
+        self.with_rate_limits(|limits, place| {
+            let tags = members.map(|entry| UpstreamTag::from(entry.id.key()));
+            let limited = tags.filter(|&tag| limits.limit(tag).is_some());
+            let waits = limited.map(|tag| limits.wait(tag, place, now));
+            waits
+                .map(|wait| wait.unwrap_or(OTHER_ROUTER_WAIT).max(MIN_LIMIT_WAIT))
+                .min()
+        })
+    }
+
     /// Merges the load reports that other routers received from upstreams.
     fn merge_load_reports(&self, members: &[&Arc<UpstreamEntry>]) {
         let reports = self.board.load_reports();
@@ -240,6 +295,7 @@
         suspect: &[UpstreamKey],
     ) -> Vec<UpstreamCandidate> {
         let now = self.now();
+        let limited = self.limited_upstreams(members);
         let settings = self.board.settings.load();
         let router_count = self.board.fleet_size.load(Ordering::Relaxed);
         let upstream_stats = self.upstream_stats.borrow();
@@ -260,6 +316,7 @@
                 let stats = stats_of(key);
                 let is_excluded = entry.state == ServingState::Draining
                     || excluded.contains(&key)
+                    || limited.contains(&key)
                     || stats.own_calls >= max_own_calls.max(1);
                 let eligibility = if is_excluded {
                     Eligibility::Excluded
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -136,7 +136,8 @@
             .board
             .suspect_parts()
             .reports(part_time(now), &mut rand::rng());
-        frame.set_reports(loads, &parts, now);
+        let rates = self.board.rate_limits().reports(&mut rand::rng());
+        frame.set_reports(loads, &parts, &rates, now);
         frame.encode_to_vec()
     }
 
@@ -152,6 +153,7 @@
             loads: None,
             store_age_ms: age.map(|age| age.as_millis() as u64),
             parts: None,
+            rates: None,
         }
     }
 
@@ -200,6 +202,12 @@
             let mut reports = self.board.load_reports();
             loads.reports(now).for_each(|report| reports.merge(report));
         }
+        if let Some(rates) = &frame.rates {
+            let mut rate_limits = self.board.rate_limits();
+            for report in rates.reports(now) {
+                rate_limits.merge(report);
+            }
+        }
         let objections = frame.parts.as_ref().map(|parts| {
             let reports = parts.reports(part_time(now));
             self.board.suspect_parts().merge(&reports, part_time(now))
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -15,7 +15,9 @@
 use crate::mono::MonoTime;
 use crate::policy::latest_loads::{MAX_HEARTBEAT_REPORTS, UpstreamLoad, UpstreamTag};
 use crate::policy::part_reports::{CrashReport, PartReports, SoundReport};
+use crate::policy::rate_limits::RateReport;
 use crate::policy::suspect_parts::part_time;
+use crate::units::RequestRate;
 
 /// Membership records in a heartbeat. Each member has the same index in all columns.
 #[derive(Clone, PartialEq, Message)]
@@ -127,16 +129,24 @@
 /// reports take the bytes of one more load.
 const LOADS_PER_PART_REPORT: usize = 2;
 
-/// Unit of the ages of reports about prompt parts, in milliseconds.
-const PART_AGE_MS: u64 = 10;
+/// Number of loads that take as many bytes as one rate limit; the columns of these take the bytes of
+/// one more load.
+const LOADS_PER_RATE_REPORT: usize = 1;
+
+/// Unit of the ages of reports about prompt parts and rate limits, in milliseconds.
+const REPORT_AGE_MS: u64 = 10;
 
 fn age_of_time(at: MonoTime, now: MonoTime) -> u32 {
-    let age = now.since(at).as_millis() / u128::from(PART_AGE_MS);
+    // Rounded up, so that a report does not become newer from router to router.
+    let age = now
+        .since(at)
+        .as_millis()
+        .div_ceil(u128::from(REPORT_AGE_MS));
     u32::try_from(age).unwrap_or(u32::MAX)
 }
 
 fn time_of_age(age: u32, now: MonoTime) -> MonoTime {
-    now.saturating_sub(Duration::from_millis(PART_AGE_MS * u64::from(age)))
+    now.saturating_sub(Duration::from_millis(REPORT_AGE_MS * u64::from(age)))
 }
 
 /// Reports about prompt parts in a heartbeat. Each report has the same index in all columns of its
@@ -149,13 +159,13 @@
     /// Shortened keys of the upstreams that crashed, see [`UpstreamTag`].
     #[prost(fixed32, repeated, tag = "2")]
     pub crash_upstreams: Vec<u32>,
-    /// Times since the crashes, in units of [`PART_AGE_MS`].
+    /// Times since the crashes, in units of [`REPORT_AGE_MS`].
     #[prost(uint32, repeated, tag = "3")]
     pub crash_ages: Vec<u32>,
     /// Ids of parts that an upstream answered.
     #[prost(fixed64, repeated, tag = "4")]
     pub sound_parts: Vec<u64>,
-    /// Times since the answers, in units of [`PART_AGE_MS`].
+    /// Times since the answers, in units of [`REPORT_AGE_MS`].
     #[prost(uint32, repeated, tag = "5")]
     pub sound_ages: Vec<u32>,
 }
@@ -202,6 +212,48 @@
     }
 }
 
+/// Rate limits of upstreams in a heartbeat. Each upstream has the same index in all columns.
+#[derive(Clone, PartialEq, Message)]
+pub struct RateColumns {
+    /// Shortened keys of the upstreams, see [`UpstreamTag`].
+    #[prost(fixed32, repeated, tag = "1")]
+    pub tags: Vec<u32>,
+    /// Thousandths of a request per second, plus one; 0 if the upstream sets no limit any longer.
+    #[prost(uint32, repeated, tag = "2")]
+    pub limits: Vec<u32>,
+    /// Times since the upstreams said so, in units of [`REPORT_AGE_MS`].
+    #[prost(uint32, repeated, tag = "3")]
+    pub ages: Vec<u32>,
+}
+
+impl RateColumns {
+    /// Converts reports to columns, with their ages at `now`.
+    pub fn new(reports: &[RateReport], now: MonoTime) -> Self {
+        let limit = |report: &RateReport| {
+            let limit = report.limit.map(|limit| limit.milli().saturating_add(1));
+            limit.unwrap_or(0)
+        };
+        Self {
+            tags: reports.iter().map(|report| report.upstream.0).collect(),
+            limits: reports.iter().map(limit).collect(),
+            ages: reports
+                .iter()
+                .map(|report| age_of_time(report.at, now))
+                .collect(),
+        }
+    }
+
+    /// Converts the columns to reports, with times of the local clock, which is at `now`.
+    pub fn reports(&self, now: MonoTime) -> impl Iterator<Item = RateReport> {
+        let reports = self.tags.iter().zip(&self.limits).zip(&self.ages);
+        reports.map(move |((&tag, &limit), &age)| RateReport {
+            upstream: UpstreamTag(tag),
+            limit: limit.checked_sub(1).map(RequestRate::from_milli),
+            at: time_of_age(age, now),
+        })
+    }
+}
+
 /// A heartbeat, sent as one UDP datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct HeartbeatFrame {
@@ -224,22 +276,31 @@
     /// Reports about prompt parts that may crash upstreams. They take the place of loads.
     #[prost(message, optional, tag = "6")]
     pub parts: Option<PartColumns>,
+    /// Rate limits of upstreams. They take the place of loads.
+    #[prost(message, optional, tag = "7")]
+    pub rates: Option<RateColumns>,
 }
 
 impl HeartbeatFrame {
-    /// Adds the loads of the busiest upstreams, which come first in `loads`, and reports about
-    /// prompt parts.
+    /// Adds the loads of the busiest upstreams, which come first in `loads`, reports about prompt
+    /// parts, and rate limits.
     pub fn set_reports(
         &mut self,
         mut loads: Vec<UpstreamLoad>,
         parts: &PartReports,
+        rates: &[RateReport],
         now: MonoTime,
     ) {
+        let mut displaced = 0;
         if !parts.is_empty() {
-            let displaced = 1 + LOADS_PER_PART_REPORT * parts.len();
-            loads.truncate(MAX_HEARTBEAT_REPORTS.saturating_sub(displaced));
+            displaced += 1 + LOADS_PER_PART_REPORT * parts.len();
             self.parts = Some(PartColumns::new(parts, part_time(now)));
         }
+        if !rates.is_empty() {
+            displaced += 1 + LOADS_PER_RATE_REPORT * rates.len();
+            self.rates = Some(RateColumns::new(rates, now));
+        }
+        loads.truncate(MAX_HEARTBEAT_REPORTS.saturating_sub(displaced));
         self.loads = Some(LoadColumns::new(&loads, now));
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,6 +33,7 @@
 pub mod suspect_parts;
 pub mod ticket;
 pub mod ticket_ledger;
+pub mod token_bucket;
 pub mod upstream_choice;
 pub mod upstream_health;
 pub mod upstream_stats;
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -91,6 +91,9 @@
     /// No upstream ran the call, and none will: a part of its prompt crashes upstreams. The caller
     /// may try again after this time.
     Held(Duration),
+    /// No upstream ran the call, and none will: all have taken as many requests as their limits
+    /// allow. The caller may try again after this time.
+    Limited(Duration),
 }
 
 /// The next step after a failed attempt.
@@ -195,10 +198,11 @@
         })
     }
 
-    /// Returns the failure to report when the call may not be sent before `retry_after`.
-    pub fn held(&self, retry_after: Duration) -> CallFailure {
+    /// Returns the failure to report when the call may not be sent for the reason of `refusal`. Only
+    /// a call that did not run can be refused.
+    pub fn refused(&self, refusal: CallFailure) -> CallFailure {
         match self.failure(CallFailure::Unknown) {
-            CallFailure::NotRun => CallFailure::Held(retry_after),
+            CallFailure::NotRun => refusal,
             failure => failure,
         }
     }
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -12,7 +12,9 @@
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::{LatestLoads, UpstreamLoad, UpstreamTag};
 use hawthornrouter::policy::part_reports::PartReports;
+use hawthornrouter::policy::rate_limits::{RateLimits, RateReport};
 use hawthornrouter::policy::suspect_parts::{SuspectParts, part_time};
+use hawthornrouter::units::RequestRate;
 use prost::Message;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -238,13 +240,28 @@
             loads: None,
             store_age_ms: Some(10_000),
             parts: None,
+            rates: None,
         };
         let without_parts = {
             let mut frame = frame.clone();
-            frame.set_reports(loads.busiest(fleet.now), &PartReports::default(), fleet.now);
+            frame.set_reports(
+                loads.busiest(fleet.now),
+                &PartReports::default(),
+                &[],
+                fleet.now,
+            );
             frame.encoded_len()
         };
-        frame.set_reports(loads.busiest(fleet.now), &parts, fleet.now);
+        let mut limits = RateLimits::default();
+        for number in 0..20 {
+            limits.merge(RateReport {
+                upstream: UpstreamTag(u32::MAX - number),
+                limit: Some(RequestRate::from_milli(100_000)),
+                at: fleet.now.saturating_sub(Duration::from_secs(4)),
+            });
+        }
+        let rates = limits.reports(&mut fleet.rng);
+        frame.set_reports(loads.busiest(fleet.now), &parts, &rates, fleet.now);
         let length = without_parts.max(frame.encoded_len());
         // Each round sends three heartbeats to members and sometimes one to a seed, with 28 bytes
         // of UDP and IP headers each.
