Let crashes before a hold not prolong it

The time to the first trial doubled with every crash above three, also with those of the first seconds: a part with eight crashes would have waited 32 minutes for its first trial, and a cure that long to be seen. Only crashes a minute or more after the one before, which are those of trials, double it now.

--- a/src/policy/part_history.rs
+++ b/src/policy/part_history.rs
@@ -90,10 +90,10 @@
     }
 
     /// Removes the crash that follows another one soonest, so that those that remain are as far apart
-    /// as possible.
+    /// as possible. The first and the last one stay.
     fn remove_closest(&mut self) {
         let gap = |&index: &usize| self.crashes[index].at.since(self.crashes[index - 1].at);
-        let closest = (1..self.crashes.len()).min_by_key(gap);
+        let closest = (1..self.crashes.len() - 1).min_by_key(gap);
         closest.map(|index| self.crashes.remove(index));
     }
 
@@ -127,6 +127,13 @@
         latest
     }
 
+    /// Number of times without a crash that were at least `span` long, between two crashes.
+    pub fn count_gaps(&self, span: Duration) -> usize {
+        let pairs = self.crashes.windows(2);
+        let gaps = pairs.filter(|pair| pair[1].at.since(pair[0].at) >= span);
+        gaps.count()
+    }
+
     /// Number of crashes at different times.
     pub fn moments(&self) -> usize {
         count_moments(self.crashes.iter())
--- a/src/policy/suspect_parts.rs
+++ b/src/policy/suspect_parts.rs
@@ -386,21 +386,20 @@
 
     fn hold(&self, part: PartTag, now: MonoTime) -> HeldPart {
         let history = &self.histories[&part];
-        let crashes = history.moments();
+        let failed_trials = history.count_gaps(BASE_HOLD) as u32;
         let time =
             |crash: Option<&UpstreamCrash>| crash.map_or(MonoTime::default(), |crash| crash.at);
         let last_crash = time(history.crashes().last());
-        let doublings = crashes.saturating_sub(HOLD_CRASHES) as u32;
         HeldPart {
             part,
-            crashes,
+            crashes: history.moments(),
             first_crash: time(history.crashes().first()),
             last_crash,
             from: self
                 .held
                 .get(&part)
                 .map_or(now + OBJECTION_TIME, |held| held.from),
-            until: last_crash + (BASE_HOLD * 2u32.pow(doublings)).min(MAX_HOLD),
+            until: last_crash + (BASE_HOLD * 2u32.pow(failed_trials)).min(MAX_HOLD),
         }
     }
 }
--- a/tests/suspect_parts.rs
+++ b/tests/suspect_parts.rs
@@ -134,25 +134,32 @@
 
 #[test]
 fn hold_doubles_after_failed_trial() {
-    let mut suspects = SuspectParts::default();
-    crash(&mut suspects, &[BAD], 3, 0);
-    let PartDecision::Hold { held, retry_after } = decide(&mut suspects, &[SHARED, BAD], 2000)
-    else {
-        panic!("not held");
-    };
-    assert_eq!((held.part, held.crashes), (BAD, 3));
-    assert_eq!(retry_after, Duration::from_secs(59));
-    let PartDecision::Trial(_) = decide(&mut suspects, &[BAD], 62_000) else {
-        panic!("no trial");
-    };
-    // Only one call is sent.
-    let second = decide(&mut suspects, &[BAD], 62_010);
-    assert!(matches!(second, PartDecision::Hold { .. }), "{second:?}");
-    suspects.record_crash(&[BAD], UpstreamTag(99), at(62_100));
-    let PartDecision::Hold { retry_after, .. } = decide(&mut suspects, &[BAD], 62_100) else {
-        panic!("not held");
-    };
-    assert_eq!(retry_after, Duration::from_mins(2));
+    // Crashes before the hold do not prolong it.
+    for crashes in [3, 6, 20] {
+        let mut suspects = SuspectParts::default();
+        crash(&mut suspects, &[BAD], crashes, 0);
+        let last_ms = 500 * u64::from(crashes - 1);
+        let PartDecision::Hold { held, retry_after } =
+            decide(&mut suspects, &[SHARED, BAD], last_ms + 1000)
+        else {
+            panic!("not held");
+        };
+        assert_eq!((held.part, held.crashes), (BAD, crashes.min(8) as usize));
+        assert_eq!(retry_after, Duration::from_secs(59));
+        let trial_ms = last_ms + 61_000;
+        let PartDecision::Trial(_) = decide(&mut suspects, &[BAD], trial_ms) else {
+            panic!("no trial");
+        };
+        // Only one call is sent.
+        let second = decide(&mut suspects, &[BAD], trial_ms + 10);
+        assert!(matches!(second, PartDecision::Hold { .. }), "{second:?}");
+        suspects.record_crash(&[BAD], UpstreamTag(99_999), at(trial_ms + 100));
+        let PartDecision::Hold { retry_after, .. } = decide(&mut suspects, &[BAD], trial_ms + 100)
+        else {
+            panic!("not held");
+        };
+        assert_eq!(retry_after, Duration::from_mins(2));
+    }
 }
 
 #[test]
