Log what an attempt had received of an unfinished event

Without it the logs could not tell whether wrong answers begin with bytes of the failed attempt or are sent by the second upstream. No decision changes.

--- a/src/forward/event_reader.rs
+++ b/src/forward/event_reader.rs
@@ -37,6 +37,11 @@
         self.event_count
     }
 
+    /// Returns the number of buffered bytes, which belong to an incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether the buffer contains an incomplete event.
     pub fn is_partial(&self) -> bool {
         !self.pending.is_empty()
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -149,9 +149,10 @@
                     // Closes the connection, so that the upstream stops running the call
                     // before another one continues it.
                     *stream = None;
-                    self.reader.restart();
                     self.record_crash(&entry, fault).await;
-                    match self.handle_fault(key, fault, started) {
+                    let step = self.handle_fault(key, fault, started);
+                    self.reader.restart();
+                    match step {
                         NextStep::Fail(failure) => return Err(failure),
                         NextStep::Retry => *stream = Some(self.resume().await?),
                     }
@@ -268,6 +269,7 @@
         spdlog::info!("attempt-failed", kv: {
             id: = self.request_id(), fault: = fault.label(), code:? = fault,
             verdict:? = self.attempts.verdict(), choice: = self.choice_text(),
+            events: = self.reader.event_count(), partial_bytes: = self.reader.partial_bytes(),
             alone: = silent, in_time: = in_time, affordable: = affordable, next:? = step,
             ms: = self.state.now().since(started).as_millis(), config: = self.plan.table.version
         });
