Let each attempt own the events that it has not passed on

What callers saw: a resumable stream with the bytes of a failed attempt before those of the next one, as 200 with the second upstream's stamp (MIXED).

Cause: one event reader served all attempts of a call. It was emptied when a stream broke after its first event went out, but not when an attempt broke inside its first event. Its last id also ran ahead of the caller: with two sound events and a bad one in one read, the next attempt resumed after events that nobody had received. The class of fault is state of a failed attempt that survives into the next.

Change: the reader belongs to the StreamSource and is dropped with it. What outlives an attempt is RelayProgress, which advances only when events are handed on to the caller.

--- a/src/forward/choice_record.rs
+++ b/src/forward/choice_record.rs
@@ -18,6 +18,9 @@
     pub reused: bool,
     /// The upstream from which the chosen one may copy cached parts of the prompt.
     pub cache_source: Option<SocketAddr>,
+    /// Bytes of an unfinished event that had arrived when the attempt failed. Not part of the key
+    /// `choice`.
+    pub partial_bytes: usize,
 }
 
 impl fmt::Display for ChoiceRecord {
--- a/src/forward/event_reader.rs
+++ b/src/forward/event_reader.rs
@@ -1,24 +1,24 @@
 //! Splits the body of a `text/event-stream` response into complete events.
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 
+use crate::forward::event_batch::EventBatch;
 use crate::policy::call_attempts::AttemptFault;
 
 /// Maximum event size: a body with a longer event is rejected as not being an event stream.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
-/// Buffers the bytes of an event stream and returns complete events.
+/// Buffers the bytes of one response and returns its complete events.
 #[derive(Debug, Default)]
 pub struct EventReader {
     pending: BytesMut,
     /// Offset in `pending` at which the search for the end of the next event continues.
     search_from: usize,
     last_id: Option<u64>,
-    event_count: u64,
 }
 
 impl EventReader {
-    /// Creates a reader. `last_id` is the id of the event after which the stream continues, or
+    /// Creates a reader. `last_id` is the id of the event after which the response continues, or
     /// `None` for a stream from its first event.
     pub fn new(last_id: Option<u64>) -> Self {
         Self {
@@ -27,37 +27,16 @@
         }
     }
 
-    /// Returns the id of the last returned event that had one.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
-    }
-
-    /// Returns the number of events returned so far.
-    pub fn event_count(&self) -> u64 {
-        self.event_count
-    }
-
     /// Returns the number of buffered bytes, which belong to an incomplete event.
     pub fn partial_bytes(&self) -> usize {
         self.pending.len()
     }
 
-    /// Returns whether the buffer contains an incomplete event.
-    pub fn is_partial(&self) -> bool {
-        !self.pending.is_empty()
-    }
-
-    /// Discards an incomplete event, before the body of another upstream is read that continues
-    /// after the last returned event.
-    pub fn restart(&mut self) {
-        self.pending.clear();
-        self.search_from = 0;
-    }
-
-    /// Adds bytes and returns all complete events, or empty bytes if there are none. Event ids that
-    /// don't increase and an overlong event are an [`AttemptFault::BadAnswer`].
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, AttemptFault> {
+    /// Adds bytes and returns all complete events. Event ids that don't increase and an overlong
+    /// event are an [`AttemptFault::BadAnswer`], after which the reader must not be used.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<EventBatch, AttemptFault> {
         self.pending.extend_from_slice(bytes);
+        let mut batch = EventBatch::default();
         let mut complete = 0;
         while let Some(end) = self.event_end() {
             let id = event_id(&self.pending[complete..end]);
@@ -66,8 +45,9 @@
                     return Err(AttemptFault::BadAnswer);
                 }
                 self.last_id = Some(id);
+                batch.last_id = Some(id);
             }
-            self.event_count += 1;
+            batch.event_count += 1;
             complete = end;
             self.search_from = end;
         }
@@ -75,7 +55,8 @@
             return Err(AttemptFault::BadAnswer);
         }
         self.search_from = self.pending.len().saturating_sub(3).max(complete) - complete;
-        Ok(self.pending.split_to(complete).freeze())
+        batch.bytes = self.pending.split_to(complete).freeze();
+        Ok(batch)
     }
 
     /// Returns the offset after the next blank line, which ends an event.
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod crash_check;
+pub mod stream_source;
 
 use std::borrow::Cow;
 use std::rc::Rc;
@@ -11,7 +12,8 @@
 
 use crate::dialect::{EdgeDialect, PromptPrefix};
 use crate::forward::choice_record::ChoiceRecord;
-use crate::forward::event_reader::EventReader;
+use crate::forward::event_batch::EventBatch;
+use crate::forward::relay_progress::RelayProgress;
 use crate::forward::traffic_state::{TrafficState, UpstreamGuard};
 use crate::forward::upstream_response::{CallPlan, OpenStream, UpstreamResponse};
 use crate::forward::wait_limits::WaitLimits;
@@ -39,7 +41,8 @@
     /// Whether an upstream has answered beyond the first events, so that the prompt is known not to
     /// crash upstreams.
     is_sound: bool,
-    reader: EventReader,
+    /// What the caller has of the stream.
+    progress: RelayProgress,
     first_event: Option<MonoTime>,
     /// The latest choice of an upstream, for log lines.
     choice: Option<ChoiceRecord>,
@@ -61,7 +64,7 @@
             is_sound: false,
             prompt,
             attempts: CallAttempts::new(plan.route.kind, plan.route.max_attempts),
-            reader: EventReader::new(plan.head.resume_after),
+            progress: RelayProgress::new(plan.head.resume_after),
             service,
             state,
             plan,
@@ -96,6 +99,7 @@
                 view_age_ms: self.state.store_age_ms(),
                 reused: false,
                 cache_source: None,
+                partial_bytes: 0,
             });
             let entry = Arc::clone(&guard.entry);
             match self.attempt(guard).await {
@@ -121,6 +125,10 @@
             let Some(open) = stream.as_mut() else {
                 return Ok(None);
             };
+            let first = std::mem::take(&mut open.first);
+            if !first.is_empty() {
+                return Ok(Some(self.relay(first)));
+            }
             if open.ended {
                 self.record_sound();
                 if let Some(open) = stream.take() {
@@ -141,7 +149,7 @@
                     open.ended = ended;
                     if !events.is_empty() {
                         self.record_sound();
-                        return Ok(Some(events));
+                        return Ok(Some(self.relay(events)));
                     }
                 }
                 Err(fault) => {
@@ -150,15 +158,10 @@
                     // before another one continues it.
                     *stream = None;
                     self.record_crash(&entry, fault).await;
-                    let step = self.handle_fault(key, fault, started);
-                    self.reader.restart();
-                    match step {
+                    match self.handle_fault(key, fault, started) {
                         NextStep::Fail(failure) => return Err(failure),
                         NextStep::Retry => *stream = Some(self.resume().await?),
                     }
-                    if let Some(events) = take_first_events(stream) {
-                        return Ok(Some(events));
-                    }
                 }
             }
         }
@@ -167,13 +170,20 @@
     /// Continues a stream at another upstream.
     async fn resume(&mut self) -> Result<OpenStream<D>, CallFailure> {
         match self.forward().await? {
-            UpstreamResponse::Stream(open) => Ok(open),
+            UpstreamResponse::Stream(open) => Ok(*open),
             UpstreamResponse::Full(_) => Err(CallFailure::Unknown),
         }
     }
 
-    /// Records that the first events of the stream go to the caller.
-    pub fn record_first_event(&mut self) {
+    /// Records that events go to the caller and returns their bytes.
+    fn relay(&mut self, events: EventBatch) -> Bytes {
+        if !self.progress.has_begun() {
+            self.record_first_event();
+        }
+        self.progress.relay(events)
+    }
+
+    fn record_first_event(&mut self) {
         self.attempts.mark_streaming();
         let now = self.state.now();
         self.first_event = Some(now);
@@ -217,7 +227,7 @@
             route: = self.plan.route.name, service: = self.service, rank: = self.rank(),
             account: = account.map_or("none", |grant| grant.account.as_str()),
             ms: = spent.as_millis(), first_ms: = first.as_millis(),
-            events: = self.reader.event_count(), choice: = self.choice_text(),
+            events: = self.progress.event_count(), choice: = self.choice_text(),
             failed: = self.attempts.arrivals(), verdict:? = verdict,
             config: = self.plan.table.version
         });
@@ -269,7 +279,8 @@
         spdlog::info!("attempt-failed", kv: {
             id: = self.request_id(), fault: = fault.label(), code:? = fault,
             verdict:? = self.attempts.verdict(), choice: = self.choice_text(),
-            events: = self.reader.event_count(), partial_bytes: = self.reader.partial_bytes(),
+            events: = self.progress.event_count(),
+            partial_bytes: = self.choice.as_ref().map_or(0, |choice| choice.partial_bytes),
             alone: = silent, in_time: = in_time, affordable: = affordable, next:? = step,
             ms: = self.state.now().since(started).as_millis(), config: = self.plan.table.version
         });
@@ -295,9 +306,3 @@
         }
     }
 }
-
-fn take_first_events<D: EdgeDialect>(stream: &mut Option<OpenStream<D>>) -> Option<Bytes> {
-    let open = stream.as_mut()?;
-    let events = std::mem::take(&mut open.first);
-    (!events.is_empty()).then_some(events)
-}
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -8,12 +8,15 @@
 use http_body_util::{BodyExt, Full};
 
 use super::FrontCall;
+use super::stream_source::StreamSource;
 use crate::dialect::{EdgeDialect, UpstreamCallHead};
 use crate::forward::connection_pool::ReuseCondition;
+use crate::forward::event_batch::EventBatch;
+use crate::forward::event_reader::EventReader;
 use crate::forward::http_connection::HttpConnection;
 use crate::forward::traffic_state::UpstreamGuard;
 use crate::forward::upstream_response::{
-    ConnectionReuse, FullResponse, OpenStream, StreamSource, UpstreamResponse,
+    ConnectionReuse, FullResponse, OpenStream, UpstreamResponse,
 };
 use crate::forward::wait_limits::WaitLimits;
 use crate::ids::UpstreamKey;
@@ -81,6 +84,7 @@
             connection,
             body,
             reuse,
+            reader: EventReader::new(self.progress.last_id()),
         };
         if parts.status.is_success() && self.plan.route.kind.streams() {
             let (first, ended) = self.read_events(&mut source, limits).await?;
@@ -88,13 +92,13 @@
                 // A crash of the upstream looks the same.
                 return Err(AttemptFault::Broken);
             }
-            return Ok(UpstreamResponse::Stream(OpenStream {
+            return Ok(UpstreamResponse::Stream(Box::new(OpenStream {
                 status: parts.status,
                 headers: parts.headers,
                 first,
                 ended,
                 source,
-            }));
+            })));
         }
         let body = self.read_body(&mut source, limits).await?;
         self.record_sound();
@@ -154,7 +158,7 @@
             account: self.plan.grant.as_ref().map(|grant| &grant.account),
             time_left: self.plan.deadline.since(self.state.now()),
             rank,
-            resume_after: self.reader.last_id(),
+            resume_after: self.progress.last_id(),
             cache_source: guard.cache_source,
         };
         let request = Request::builder()
@@ -178,17 +182,30 @@
         &mut self,
         source: &mut StreamSource<D>,
         limits: WaitLimits,
-    ) -> Result<(Bytes, bool), AttemptFault> {
+    ) -> Result<(EventBatch, bool), AttemptFault> {
+        let result = self.read_batch(source, limits).await;
+        if result.is_err() {
+            let partial_bytes = source.reader.partial_bytes();
+            self.update_choice(|choice| choice.partial_bytes = partial_bytes);
+        }
+        result
+    }
+
+    async fn read_batch(
+        &self,
+        source: &mut StreamSource<D>,
+        limits: WaitLimits,
+    ) -> Result<(EventBatch, bool), AttemptFault> {
         let started = self.state.now();
         loop {
             let Some(bytes) = self.next_chunk(source, started, limits).await? else {
-                return if self.reader.is_partial() {
+                return if source.reader.partial_bytes() > 0 {
                     Err(AttemptFault::Broken)
                 } else {
-                    Ok((Bytes::new(), true))
+                    Ok((EventBatch::default(), true))
                 };
             };
-            let events = self.reader.push(&bytes)?;
+            let events = source.reader.push(&bytes)?;
             if !events.is_empty() {
                 return Ok((events, false));
             }
--- a/src/forward/front_call/crash_check.rs
+++ b/src/forward/front_call/crash_check.rs
@@ -37,7 +37,7 @@
         let parts: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
         spdlog::info!("upstream-crashed", kv: {
             id: = self.request_id(), upstream: = entry.id, service: = self.service,
-            parts: = parts.join(","), events: = self.reader.event_count()
+            parts: = parts.join(","), events: = self.progress.event_count()
         });
         let upstream = entry.id.key().into();
         let mut suspects = self.state.board.suspect_parts();
--- /dev/null
+++ b/src/forward/front_call/stream_source.rs
@@ -0,0 +1,22 @@
+//! The upstream side of a response that is being read.
+
+use hyper::body::Incoming;
+
+use crate::dialect::EdgeDialect;
+use crate::forward::event_reader::EventReader;
+use crate::forward::http_connection::HttpConnection;
+use crate::forward::traffic_state::UpstreamGuard;
+use crate::forward::upstream_response::ConnectionReuse;
+
+/// Everything that belongs to one attempt whose response is being read. It is dropped with the
+/// attempt, so that nothing of a failed response can reach the next one.
+pub struct StreamSource<D: EdgeDialect> {
+    /// Counts the call at its upstream while the response is read.
+    pub guard: UpstreamGuard<D>,
+    pub connection: HttpConnection,
+    pub body: Incoming,
+    /// Whether the connection may be reused once the body is read.
+    pub reuse: ConnectionReuse,
+    /// Splits the body into events, if it is a stream.
+    pub reader: EventReader,
+}
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -267,7 +267,7 @@
             call.finish("answered", response.status.as_u16());
             Ok(full_response(response))
         }
-        Ok(UpstreamResponse::Stream(stream)) => Ok(stream_response(call, stream, caller, open)),
+        Ok(UpstreamResponse::Stream(stream)) => Ok(stream_response(call, *stream, caller, open)),
         Err(failure) => {
             let response = LocalResponse::from(failure);
             call.finish(failure_label(failure), response.status.as_u16());
@@ -322,16 +322,9 @@
 /// Relays a stream to its end, or until the deadline of the call. Returns the outcome for the log.
 async fn relay<D: EdgeDialect>(
     call: &mut FrontCall<D>,
-    mut stream: OpenStream<D>,
+    stream: OpenStream<D>,
     sender: &tokio::sync::mpsc::Sender<StreamChunk>,
 ) -> &'static str {
-    let first = std::mem::take(&mut stream.first);
-    if !first.is_empty() {
-        call.record_first_event();
-        if sender.send(StreamChunk::Events(first)).await.is_err() {
-            return "caller-left";
-        }
-    }
     let mut source = Some(stream);
     loop {
         let chunk = match call.next_events(&mut source).await {
--- a/src/forward/upstream_response.rs
+++ b/src/forward/upstream_response.rs
@@ -10,8 +10,8 @@
 
 use crate::dialect::{CallHead, EdgeDialect};
 use crate::forward::connection_headers::connection_options;
-use crate::forward::http_connection::HttpConnection;
-use crate::forward::traffic_state::UpstreamGuard;
+use crate::forward::event_batch::EventBatch;
+use crate::forward::front_call::stream_source::StreamSource;
 use crate::mono::MonoTime;
 use crate::route::{AccountGrant, RouteRule, RouteTable};
 
@@ -47,23 +47,13 @@
     /// Headers from the upstream, including those of its connection.
     pub headers: HeaderMap,
     /// Events that were read already; they go to the caller first.
-    pub first: Bytes,
+    pub first: EventBatch,
     /// Whether the stream is complete and no events follow those in `first`.
     pub ended: bool,
     /// Source of the following events.
     pub source: StreamSource<D>,
 }
 
-/// The upstream side of a response that is being read.
-pub struct StreamSource<D: EdgeDialect> {
-    /// Counts the call at its upstream while the response is read.
-    pub guard: UpstreamGuard<D>,
-    pub connection: HttpConnection,
-    pub body: Incoming,
-    /// Whether the connection may be reused once the body is read.
-    pub reuse: ConnectionReuse,
-}
-
 /// Whether and how long a connection may be reused after a response.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionReuse {
@@ -78,7 +68,7 @@
     /// A response with its complete body.
     Full(FullResponse),
     /// An event stream to relay.
-    Stream(OpenStream<D>),
+    Stream(Box<OpenStream<D>>),
 }
 
 impl ConnectionReuse {
--- a/tests/event_reader.rs
+++ b/tests/event_reader.rs
@@ -2,6 +2,7 @@
 //! its bytes, and must reject ids that don't increase.
 
 use hawthornrouter::forward::event_reader::EventReader;
+use hawthornrouter::forward::relay_progress::RelayProgress;
 use proptest::prelude::*;
 
 fn event(id: u64, data: &str) -> String {
@@ -25,6 +26,7 @@
             text = text.replace('\n', "\r\n");
         }
         let mut reader = EventReader::new(None);
+        let mut progress = RelayProgress::default();
         let mut out = Vec::new();
         let mut rest = text.as_bytes();
         for size in sizes.iter().cycle() {
@@ -33,16 +35,52 @@
             }
             let (chunk, after) = rest.split_at((*size).min(rest.len()));
             rest = after;
-            let complete = reader.push(chunk).expect("ids increase");
+            let complete = progress.relay(reader.push(chunk).expect("ids increase"));
             prop_assert!(complete.is_empty()
                 || complete.ends_with(b"\n\n")
                 || complete.ends_with(b"\r\n\r\n"));
             out.extend_from_slice(&complete);
         }
         prop_assert_eq!(out, text.as_bytes());
-        prop_assert_eq!(reader.event_count(), data.len() as u64);
-        prop_assert_eq!(reader.last_id(), Some(data.len() as u64 - 1));
-        prop_assert!(!reader.is_partial());
+        prop_assert_eq!(progress.event_count(), data.len() as u64);
+        prop_assert_eq!(progress.last_id(), Some(data.len() as u64 - 1));
+        prop_assert_eq!(reader.partial_bytes(), 0);
+    }
+
+    #[test]
+    fn any_cuts_give_one_stream(
+        cuts in prop::collection::vec((0usize..120, any::<bool>()), 0..6),
+        sizes in prop::collection::vec(1usize..40, 1..20),
+    ) {
+        let events: Vec<String> = (0..6).map(|id| event(id, "some words")).collect();
+        let mut progress = RelayProgress::default();
+        let mut out = Vec::new();
+        // The last attempt is sound.
+        let attempts = cuts.into_iter().map(Some).chain([None]);
+        for cut in attempts {
+            let from = progress.last_id().map_or(0, |last| last as usize + 1);
+            let mut body = events[from..].concat();
+            if let Some((length, is_spoilt)) = cut {
+                body.truncate(length);
+                let sent = from + length / event(0, "some words").len();
+                if is_spoilt && (1..=events.len()).contains(&sent) {
+                    // A sound part, then an event once more.
+                    body = events[from..sent].concat() + &events[sent - 1];
+                }
+            }
+            let mut reader = EventReader::new(progress.last_id());
+            let mut rest = body.as_bytes();
+            for size in sizes.iter().cycle() {
+                let (chunk, after) = rest.split_at((*size).min(rest.len()));
+                rest = after;
+                let Ok(batch) = reader.push(chunk) else { break };
+                out.extend_from_slice(&progress.relay(batch));
+                if rest.is_empty() {
+                    break;
+                }
+            }
+        }
+        prop_assert_eq!(String::from_utf8(out).unwrap(), events.concat());
     }
 
     #[test]
@@ -70,14 +108,21 @@
 }
 
 #[test]
-fn restart_keeps_last_id() {
+fn events_before_bad_one_are_not_skipped() {
+    let mut progress = RelayProgress::default();
     let mut reader = EventReader::new(None);
-    reader.push(event(0, "a").as_bytes()).unwrap();
-    reader.push(b"id: 1\nda").unwrap();
-    assert!(reader.is_partial());
-    reader.restart();
-    assert!(!reader.is_partial());
-    assert_eq!(reader.last_id(), Some(0));
-    let complete = reader.push(event(1, "again").as_bytes()).unwrap();
-    assert_eq!(complete, event(1, "again"));
+    progress.relay(reader.push(event(0, "a").as_bytes()).unwrap());
+    let spoilt = event(1, "b") + &event(2, "c") + &event(2, "d");
+    assert!(reader.push(spoilt.as_bytes()).is_err());
+    assert_eq!((progress.last_id(), progress.event_count()), (Some(0), 1));
+}
+
+#[test]
+fn batch_without_ids_keeps_last_id() {
+    let mut progress = RelayProgress::new(Some(4));
+    assert!(!progress.has_begun());
+    let mut reader = EventReader::new(progress.last_id());
+    let bytes = progress.relay(reader.push(b": comment\n\nid: 5\nda").unwrap());
+    assert_eq!(bytes, ": comment\n\n");
+    assert_eq!((progress.last_id(), reader.partial_bytes()), (Some(4), 8));
 }
