Resume streams only with events

What callers would see: a stream began and broke off, and the next upstream answered 200 with a body of another kind. Errors and refusals of the next upstream were told as a broken stream before.

Cause: any 2xx of the upstream on a streaming route was read as events; a body with blank lines passed. Change: once the caller has events, only a 2xx whose content type, if any, is that of an event stream continues them; anything else is a fault of the attempt. Such a 4xx may now go to a further upstream. Evidence: resumed_answers full_body failed before ('foreign' in the body); the file's other tests (errors, refusals, older events, no answer, another call's stream) passed before as they do now.

--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
 
@@ -28,11 +28,23 @@
 /// accept queue.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Whether the end of a body is told from the end of its connection.
 fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Whether the body may be a stream of events. Upstreams may leave the content type out.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers.get(CONTENT_TYPE).is_none_or(|kind| {
+        let kind = kind.as_bytes();
+        let name = EVENT_STREAM.as_bytes();
+        kind.len() >= name.len() && kind[..name.len()].eq_ignore_ascii_case(name)
+    })
+}
+
 impl<D: EdgeDialect> FrontCall<D> {
     /// Sends the call to an upstream and reads the full response, or the first events of a stream.
     pub(super) async fn attempt(
@@ -75,6 +87,8 @@
                 .request_id
                 .as_ref()
                 .map(|id| *id == self.plan.head.request_id),
+            is_stream: is_event_stream(response.headers()),
+            resumes: self.progress.has_begun(),
         };
         check_response_head(summary, repeatable)?;
         let reuse = ConnectionReuse::from_response(&response, connection.has_written_all());
--- a/src/policy/response_head_check.rs
+++ b/src/policy/response_head_check.rs
@@ -23,6 +23,11 @@
     pub stamped: bool,
     /// Whether the request id in the response is that of this request; `None` if there is no id.
     pub id_matches: Option<bool>,
+    /// Whether the body is a stream of events, as far as the head says.
+    pub is_stream: bool,
+    /// Whether the caller has received a part of the stream from another upstream, so that only
+    /// more events can follow.
+    pub resumes: bool,
 }
 
 /// Returns `Ok` if the response may be passed to the caller, otherwise the fault of the attempt.
@@ -41,7 +46,14 @@
     if head.encoded {
         return Err(AttemptFault::BadAnswer);
     }
-    if (200..300).contains(&head.status) {
+    let is_success = (200..300).contains(&head.status);
+    if head.resumes && !is_success {
+        return Err(AttemptFault::Failed(head.status));
+    }
+    if head.resumes && !head.is_stream {
+        return Err(AttemptFault::BadAnswer);
+    }
+    if is_success {
         let complete = head.id_matches.is_some() && head.stamped;
         return if complete {
             Ok(())
