--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -102,6 +102,10 @@
         };
         if parts.status.is_success() && self.plan.route.kind.streams() {
             let (first, ended) = self.read_events(&mut source, limits).await?;
+            if ended && self.progress.has_begun() {
+                // The upstream before was not at its end.
+                return Err(AttemptFault::BadAnswer);
+            }
             if ended && !is_framed(&parts.headers) {
                 // A crash of the upstream looks the same.
                 return Err(AttemptFault::Broken);
