Do not resume a stream whose events have no ids

What callers would see: the first events of a stream twice (ORDER). Without ids the next upstream can't be told what the caller has, so it began anew behind the events that had been passed on. Such a stream is now told as broken. Same class as the mixed answers: the next attempt is told of the one before by the last id alone.

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -274,6 +274,7 @@
         }
         let in_time = self.in_time();
         let affordable = self.state.affordable(&self.service)
+            && self.progress.can_continue()
             && self.state.board.suspect_parts().may_repeat(&self.parts);
         let step = self.attempts.record_fault(fault, in_time, affordable);
         spdlog::info!("attempt-failed", kv: {
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -287,7 +287,9 @@
         let mut checks = 0;
         loop {
             let now = self.state.now();
-            let replaceable = self.attempts.may_repeat() && self.state.affordable(&self.service);
+            let replaceable = self.attempts.may_repeat()
+                && self.progress.can_continue()
+                && self.state.affordable(&self.service);
             let check_at = match checks {
                 0 => started + limits.silent,
                 1 => started + limits.active,
--- a/src/forward/relay_progress.rs
+++ b/src/forward/relay_progress.rs
@@ -42,4 +42,10 @@
     pub fn has_begun(&self) -> bool {
         self.event_count > 0
     }
+
+    /// Returns whether another attempt can continue without repeating events: where they have no
+    /// ids, no upstream can be told which ones the caller has.
+    pub fn can_continue(&self) -> bool {
+        !self.has_begun() || self.last_id.is_some()
+    }
 }
