Take what an answer says about its upstream only from current answers

What callers would see: more requests at an upstream than its limit allows (LIMIT). The limit and the load in a response head were recorded before its request id and its status were checked. A late copy of an older answer without the limit ended it, and a 421 of the instance that has the address now set the limit of the one that had it. Same class as the mixed answers: one exchange's facts taken for another's. Change: an answer of another call, or a 421, says nothing about the upstream of this attempt.

--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -76,7 +76,6 @@
             .state
             .dialect
             .read_response_head(response.status(), response.headers());
-        self.state.record_response_head(&guard.entry, &head);
         let repeatable = self.attempts.may_repeat() && self.state.affordable(&self.service);
         let summary = ResponseHeadSummary {
             status: response.status().as_u16(),
@@ -90,6 +89,9 @@
             is_stream: is_event_stream(response.headers()),
             resumes: self.progress.has_begun(),
         };
+        if summary.is_current() {
+            self.state.record_response_head(&guard.entry, &head);
+        }
         check_response_head(summary, repeatable)?;
         let reuse = ConnectionReuse::from_response(&response, connection.has_written_all());
         let (parts, body) = response.into_parts();
--- a/src/policy/response_head_check.rs
+++ b/src/policy/response_head_check.rs
@@ -30,6 +30,14 @@
     pub resumes: bool,
 }
 
+impl ResponseHeadSummary {
+    /// Returns whether the response is this upstream's response to this request, so that what it
+    /// says about the upstream holds now. A late one may be older than what is known.
+    pub fn is_current(&self) -> bool {
+        self.status != MISDIRECTED_REQUEST && self.id_matches != Some(false)
+    }
+}
+
 /// Returns `Ok` if the response may be passed to the caller, otherwise the fault of the attempt.
 ///
 /// `can_retry` tells whether another upstream may run the call instead.
