--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -22,7 +22,9 @@
 use crate::ids::UpstreamKey;
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::AttemptFault;
-use crate::policy::response_head_check::{ResponseHeadSummary, check_response_head};
+use crate::policy::response_head_check::{
+    BodyKind, ExpectedBody, ResponseHeadSummary, check_response_head,
+};
 
 /// Timeout of a connection attempt. A running VM accepts within a round trip plus the wait in its
 /// accept queue.
@@ -36,13 +38,17 @@
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
-/// Whether the body may be a stream of events. Upstreams may leave the content type out.
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    headers.get(CONTENT_TYPE).is_none_or(|kind| {
-        let kind = kind.as_bytes();
-        let name = EVENT_STREAM.as_bytes();
-        kind.len() >= name.len() && kind[..name.len()].eq_ignore_ascii_case(name)
-    })
+/// Reads the kind of a body. Upstreams may leave the content type of streams out.
+fn body_kind(headers: &HeaderMap) -> BodyKind {
+    let is_stream = headers.get(CONTENT_TYPE).is_none_or(|kind| {
+        let name = kind.as_bytes().get(..EVENT_STREAM.len());
+        name.is_some_and(|name| name.eq_ignore_ascii_case(EVENT_STREAM.as_bytes()))
+    });
+    if is_stream {
+        BodyKind::Events
+    } else {
+        BodyKind::Other
+    }
 }
 
 impl<D: EdgeDialect> FrontCall<D> {
@@ -86,8 +92,12 @@
                 .request_id
                 .as_ref()
                 .map(|id| *id == self.plan.head.request_id),
-            is_stream: is_event_stream(response.headers()),
-            resumes: self.progress.has_begun(),
+            body: body_kind(response.headers()),
+            expected: if self.progress.has_begun() {
+                ExpectedBody::MoreEvents
+            } else {
+                ExpectedBody::Any
+            },
         };
         if summary.is_current() {
             self.state.record_response_head(&guard.entry, &head);
--- a/src/policy/response_head_check.rs
+++ b/src/policy/response_head_check.rs
@@ -10,6 +10,24 @@
 /// mark proves it.
 const UNPROVEN_REFUSALS: [u16; 3] = [408, 429, 503];
 
+/// The kind of body that a response head announces.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyKind {
+    /// A stream of events, or a body of unknown kind.
+    Events,
+    /// Anything else.
+    Other,
+}
+
+/// The kind of body that can go to the caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExpectedBody {
+    /// Any: the caller has received nothing yet.
+    Any,
+    /// More events: the caller has received a part of a stream.
+    MoreEvents,
+}
+
 /// The properties of a response head that [`check_response_head`] examines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ResponseHeadSummary {
@@ -23,17 +41,16 @@
     pub stamped: bool,
     /// Whether the request id in the response is that of this request; `None` if there is no id.
     pub id_matches: Option<bool>,
-    /// Whether the body is a stream of events, as far as the head says.
-    pub is_stream: bool,
-    /// Whether the caller has received a part of the stream from another upstream, so that only
-    /// more events can follow.
-    pub resumes: bool,
+    /// The kind of body, as far as the head says.
+    pub body: BodyKind,
+    /// The kind of body that can go to the caller.
+    pub expected: ExpectedBody,
 }
 
 impl ResponseHeadSummary {
     /// Returns whether the response is this upstream's response to this request, so that what it
     /// says about the upstream holds now. A late one may be older than what is known.
-    pub fn is_current(&self) -> bool {
+    pub fn is_current(self) -> bool {
         self.status != MISDIRECTED_REQUEST && self.id_matches != Some(false)
     }
 }
@@ -55,11 +72,13 @@
         return Err(AttemptFault::BadAnswer);
     }
     let is_success = (200..300).contains(&head.status);
-    if head.resumes && !is_success {
-        return Err(AttemptFault::Failed(head.status));
-    }
-    if head.resumes && !head.is_stream {
-        return Err(AttemptFault::BadAnswer);
+    if head.expected == ExpectedBody::MoreEvents {
+        if !is_success {
+            return Err(AttemptFault::Failed(head.status));
+        }
+        if head.body == BodyKind::Other {
+            return Err(AttemptFault::BadAnswer);
+        }
     }
     if is_success {
         let complete = head.id_matches.is_some() && head.stamped;
