Continue a stream only behind and with numbered events

What callers would see: text of another body in the middle of their stream, if it had no content type, or events without ids from the next upstream; the same events twice, if the last one they had was without an id but an earlier one or their own Last-Event-Id was known; and a stream broken off after a comment, which could have gone on.

Cause: 'some id is known' was taken for 'the caller's last event has a name'. Now the last event that is no comment must have an id, and every event of the upstream that continues must have one above it.

--- a/src/forward/event_batch.rs
+++ b/src/forward/event_batch.rs
@@ -6,10 +6,12 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EventBatch {
     pub bytes: Bytes,
-    /// Number of events in `bytes`.
+    /// Number of events in `bytes`. Comments are none.
     pub event_count: u64,
     /// Id of the last event that has one.
     pub last_id: Option<u64>,
+    /// Whether the last event has an id.
+    pub is_numbered: bool,
 }
 
 impl EventBatch {
--- a/src/forward/event_reader.rs
+++ b/src/forward/event_reader.rs
@@ -15,6 +15,8 @@
     /// Offset in `pending` at which the search for the end of the next event continues.
     search_from: usize,
     last_id: Option<u64>,
+    /// Whether events without ids are rejected.
+    needs_ids: bool,
 }
 
 impl EventReader {
@@ -27,27 +29,43 @@
         }
     }
 
+    /// Creates a reader of a response that continues a stream which another upstream began: every
+    /// event must have an id, since the caller might have one without id already.
+    pub fn continuing(last_id: Option<u64>) -> Self {
+        Self {
+            needs_ids: true,
+            ..Self::new(last_id)
+        }
+    }
+
     /// Returns the number of buffered bytes, which belong to an incomplete event.
     pub fn partial_bytes(&self) -> usize {
         self.pending.len()
     }
 
-    /// Adds bytes and returns all complete events. Event ids that don't increase and an overlong
-    /// event are an [`AttemptFault::BadAnswer`], after which the reader must not be used.
+    /// Adds bytes and returns all complete events. Event ids that don't increase, a missing id that
+    /// is needed and an overlong event are an [`AttemptFault::BadAnswer`], after which the reader must not be used.
     pub fn push(&mut self, bytes: &[u8]) -> Result<EventBatch, AttemptFault> {
         self.pending.extend_from_slice(bytes);
         let mut batch = EventBatch::default();
         let mut complete = 0;
         while let Some(end) = self.event_end() {
-            let id = event_id(&self.pending[complete..end]);
+            let event = &self.pending[complete..end];
+            let id = event_id(event);
+            let has_content = !is_comment(event);
             if let Some(id) = id {
                 if self.last_id.is_some_and(|last_id| id <= last_id) {
                     return Err(AttemptFault::BadAnswer);
                 }
                 self.last_id = Some(id);
                 batch.last_id = Some(id);
+            } else if has_content && self.needs_ids {
+                return Err(AttemptFault::BadAnswer);
+            }
+            if has_content {
+                batch.event_count += 1;
+                batch.is_numbered = id.is_some();
             }
-            batch.event_count += 1;
             complete = end;
             self.search_from = end;
         }
@@ -71,6 +89,12 @@
     }
 }
 
+/// Returns whether all lines of an event are comments.
+fn is_comment(event: &[u8]) -> bool {
+    let mut lines = event.split(|&byte| byte == b'\n' || byte == b'\r');
+    lines.all(|line| line.is_empty() || line.starts_with(b":"))
+}
+
 /// Parses the number in the last `id` line of an event.
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|&byte| byte == b'\n');
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -177,7 +177,7 @@
 
     /// Records that events go to the caller and returns their bytes.
     fn relay(&mut self, events: EventBatch) -> Bytes {
-        if !self.progress.has_begun() {
+        if self.first_event.is_none() {
             self.record_first_event();
         }
         self.progress.relay(events)
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -12,7 +12,6 @@
 use crate::dialect::{EdgeDialect, UpstreamCallHead};
 use crate::forward::connection_pool::ReuseCondition;
 use crate::forward::event_batch::EventBatch;
-use crate::forward::event_reader::EventReader;
 use crate::forward::http_connection::HttpConnection;
 use crate::forward::traffic_state::UpstreamGuard;
 use crate::forward::upstream_response::{
@@ -33,7 +32,7 @@
 /// Content type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// Whether the end of a body is told from the end of its connection.
+/// Whether the end of a body can be told without the end of its connection.
 fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
@@ -93,7 +92,7 @@
                 .as_ref()
                 .map(|id| *id == self.plan.head.request_id),
             body: body_kind(response.headers()),
-            expected: if self.progress.has_begun() {
+            expected: if self.first_event.is_some() {
                 ExpectedBody::MoreEvents
             } else {
                 ExpectedBody::Any
@@ -110,7 +109,7 @@
             connection,
             body,
             reuse,
-            reader: EventReader::new(self.progress.last_id()),
+            reader: self.progress.next_reader(),
         };
         if parts.status.is_success() && self.plan.route.kind.streams() {
             let (first, ended) = self.read_events(&mut source, limits).await?;
--- a/src/forward/front_call/stream_source.rs
+++ b/src/forward/front_call/stream_source.rs
@@ -8,8 +8,8 @@
 use crate::forward::traffic_state::UpstreamGuard;
 use crate::forward::upstream_response::ConnectionReuse;
 
-/// Everything that belongs to one attempt whose response is being read. It is dropped with the
-/// attempt, so that nothing of a failed response can reach the next one.
+/// What one attempt reads its response from. It is dropped with the attempt, so that no bytes of a
+/// failed response can reach the next one.
 pub struct StreamSource<D: EdgeDialect> {
     /// Counts the call at its upstream while the response is read.
     pub guard: UpstreamGuard<D>,
--- a/src/forward/relay_progress.rs
+++ b/src/forward/relay_progress.rs
@@ -3,12 +3,15 @@
 use bytes::Bytes;
 
 use crate::forward::event_batch::EventBatch;
+use crate::forward::event_reader::EventReader;
 
-/// The events that went to the caller. It is all that one attempt leaves to the next one.
+/// The events that went to the caller.
 #[derive(Clone, Debug, Default)]
 pub struct RelayProgress {
     last_id: Option<u64>,
     event_count: u64,
+    /// Whether the last event has an id.
+    is_numbered: bool,
 }
 
 impl RelayProgress {
@@ -17,14 +20,17 @@
     pub fn new(resume_after: Option<u64>) -> Self {
         Self {
             last_id: resume_after,
-            event_count: 0,
+            ..Self::default()
         }
     }
 
     /// Records that a batch goes to the caller and returns its bytes.
     pub fn relay(&mut self, batch: EventBatch) -> Bytes {
-        self.last_id = batch.last_id.or(self.last_id);
-        self.event_count += batch.event_count;
+        if batch.event_count > 0 {
+            self.last_id = batch.last_id.or(self.last_id);
+            self.event_count += batch.event_count;
+            self.is_numbered = batch.is_numbered;
+        }
         batch.bytes
     }
 
@@ -43,9 +49,18 @@
         self.event_count > 0
     }
 
-    /// Returns whether another attempt can continue without repeating events: where they have no
-    /// ids, no upstream can be told which ones the caller has.
+    /// Returns whether another attempt can continue without repeating events: an event without id
+    /// can't be named to an upstream.
     pub fn can_continue(&self) -> bool {
-        !self.has_begun() || self.last_id.is_some()
+        !self.has_begun() || self.is_numbered
+    }
+
+    /// Creates the reader of the next attempt's response.
+    pub fn next_reader(&self) -> EventReader {
+        if self.has_begun() {
+            EventReader::continuing(self.last_id)
+        } else {
+            EventReader::new(self.last_id)
+        }
     }
 }
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -36,7 +36,8 @@
     WrongInstance,
     /// The upstream responded with this HTTP status.
     Failed(u16),
-    /// The response is malformed, or belongs to another call.
+    /// The response is malformed, belongs to another call, or can't continue the stream that the
+    /// caller has a part of.
     BadAnswer,
     /// The connection failed after the call was written.
     Broken,
