--- a/src/forward/choice_record.rs
+++ b/src/forward/choice_record.rs
@@ -1,4 +1,4 @@
-//! The choice of an upstream for an attempt, as log lines show it.
+//! An attempt, as log lines show it: the choice of its upstream and what it left unfinished.
 
 use std::fmt;
 use std::net::SocketAddr;
