Tell a stall at the deadline from an upstream that never answered

What callers would see: new connections where idle ones to a sound upstream were open. Found by the review of the mixed answers: state of the call where that of the attempt is meant. Evidence: stream_resume stall_until_deadline_keeps_idle_connections failed before (3 connections, 2 due).

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -153,6 +153,7 @@
                     }
                 }
                 Err(fault) => {
+                    let fault = fault.after_events();
                     let entry = Arc::clone(&open.source.guard.entry);
                     // Closes the connection, so that the upstream stops running the call
                     // before another one continues it.
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -324,11 +324,7 @@
             // response to it does not show a fault.
             let overdue = checks > 0 && !self.state.is_queued(key);
             if replaceable && (overdue || !self.state.active_after(key, started)) {
-                return Err(if self.first_event.is_some() {
-                    AttemptFault::Stalled
-                } else {
-                    AttemptFault::Silent
-                });
+                return Err(AttemptFault::Silent);
             }
             checks += 1;
         }
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -59,6 +59,14 @@
         }
     }
 
+    /// Returns the fault of an attempt that had returned events before.
+    pub fn after_events(self) -> Self {
+        match self {
+            Self::Silent => Self::Stalled,
+            fault => fault,
+        }
+    }
+
     /// Returns whether the call was written to the upstream, at least in part.
     pub fn arrived(self) -> bool {
         !matches!(self, Self::Unreachable | Self::Unsent)
