Log the store's era, and configurations that are skipped for their revision

The logs of a restored store could not tell whether a router never saw the next configuration or dropped it. The client of the store now hands up the header Store-Era with each answer, a line and a metric say which era the store names, and a configuration that is not read because of its revision gets a line. No decision follows from the era yet.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,6 +7,7 @@
 pub mod pause_detector;
 pub mod peer_view;
 pub mod store_role;
+pub mod store_stamp;
 pub mod store_view;
 pub mod upstream_entry;
 pub mod upstream_view;
--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -448,11 +448,15 @@
     }
 
     fn write_config(&mut self, item: StoreItem) -> MergeEffect {
-        if self
-            .config
-            .as_ref()
-            .is_some_and(|config| config.revision >= item.revision)
+        if let Some(config) = &self.config
+            && config.revision >= item.revision
         {
+            if config.value != item.value {
+                spdlog::warn!("config-skipped", kv: {
+                    revision: = item.revision, in_force: = config.table.version,
+                    in_force_revision: = config.revision
+                });
+            }
             return MergeEffect::default();
         }
         let table = match self.codec.decode_config(&item.value) {
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -13,6 +13,7 @@
 use crate::fleet::fetch_plan::FetchPlan;
 use crate::fleet::member_table::{MemberRecord, MemberStage, MemberTable};
 use crate::fleet::store_role::StoreRole;
+use crate::fleet::store_stamp::StoreEra;
 use crate::fleet::store_view::{
     DocumentCodec, MAX_LOGGED_ENTRIES, MergeEffect, StoreRevision, StoreView,
 };
@@ -60,6 +61,8 @@
     /// When the store last delivered anything, or when the process started.
     store_active: MonoTime,
     store_unreachable: bool,
+    /// Era that the store last named.
+    store_era: StoreEra,
     /// Revision that the last notice to peers announced.
     noticed: StoreRevision,
     stop_requested: Option<MonoTime>,
@@ -99,6 +102,7 @@
             fetch_plan: FetchPlan::default(),
             store_active: now,
             store_unreachable: false,
+            store_era: StoreEra::default(),
             noticed: StoreRevision::default(),
             stop_requested: None,
             last_tick: now,
@@ -236,6 +240,13 @@
     pub fn merge_store_event(&mut self, event: StoreEvent) {
         let now = self.now();
         let effect = match event {
+            StoreEvent::EraChanged(era) => {
+                spdlog::info!("store-era", kv: {
+                    era: = era, before: = self.store_era, revision: = self.store_view.revision()
+                });
+                self.store_era = era;
+                return;
+            }
             StoreEvent::Page(items) => {
                 self.store_active = now;
                 self.store_view.merge_page(items)
@@ -433,6 +444,7 @@
             &telemetry.config_version,
             self.store_view.config_version().0,
         );
+        set_count(&telemetry.store_era, self.store_era.0);
         set_count(&telemetry.store_revision, self.store_view.revision().0);
         let age = self.store_role.age(now).unwrap_or(now.0);
         set_count(&telemetry.store_age_ms, age.as_millis());
--- a/src/forward_control/store_task.rs
+++ b/src/forward_control/store_task.rs
@@ -6,8 +6,9 @@
 use rand::RngExt;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
+use crate::fleet::store_stamp::StoreEra;
 use crate::fleet::store_view::{StoreItem, StoreRevision, StoreSnapshot};
-use crate::store_source::{StoreChanges, StoreFault, StoreSource};
+use crate::store_source::{StoreAnswer, StoreChanges, StoreFault, StorePage, StoreSource};
 
 /// Longest wait after the first failure; it doubles with each further one, up to [`MAX_BACKOFF`].
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
@@ -37,6 +38,8 @@
 /// What the task reports to the control thread.
 #[derive(Debug)]
 pub enum StoreEvent {
+    /// A response names another era than those before, or the first one.
+    EraChanged(StoreEra),
     /// A page was read, and more pages follow.
     Page(Vec<StoreItem>),
     /// All documents were read.
@@ -64,6 +67,13 @@
     Suspend,
 }
 
+/// Content of a response of the store.
+#[derive(Debug)]
+enum StoreReply {
+    Page(StorePage),
+    Changes(StoreChanges),
+}
+
 /// Progress of reading the store.
 #[derive(Debug)]
 enum StorePosition {
@@ -88,24 +98,33 @@
         }
     }
 
-    /// Sends the next request. Pages that were read are
-    /// retained after a failure: if many routers start at once on an overloaded store, a router
-    /// that started again from the first page might never read all of them.
+    /// Sends the next request; `known` is the last known era.
     async fn request_next<S: StoreSource>(
-        &mut self,
+        &self,
         source: &mut S,
-    ) -> Result<StoreEvent, StoreFault> {
+        known: StoreEra,
+    ) -> StoreAnswer<StoreReply> {
         match self {
             Self::Suspended => std::future::pending().await,
             Self::Following(revision) => {
                 let wait = WATCH_WAIT.mul_f64(rand::rng().random_range(MIN_WAIT_SHARE..1.0));
-                let update = source.watch(*revision, wait).await?;
-                *revision = update.revision.max(*revision);
-                Ok(StoreEvent::Changes(update))
+                let answer = source.watch(*revision, known, wait).await;
+                answer.and_then(|changes| Ok(StoreReply::Changes(changes)))
             }
             Self::Reading(snapshot) => {
                 let after = snapshot.items.last().map_or("", |item| item.key.as_str());
-                let page = source.page(after).await?;
+                let answer = source.page(after, known).await;
+                answer.and_then(|page| Ok(StoreReply::Page(page)))
+            }
+        }
+    }
+
+    /// Moves on after a response. Pages that were read are retained after a failure: if many routers
+    /// start at once on an overloaded store, a router that started again from the first page might
+    /// never read all of them.
+    fn advance(&mut self, reply: StoreReply) -> StoreEvent {
+        match (reply, &mut *self) {
+            (StoreReply::Page(page), Self::Reading(snapshot)) => {
                 if snapshot.items.is_empty() {
                     // Pages are read at different times. Watching starts at the revision of the
                     // first page, so changes made since then are delivered as well.
@@ -114,12 +133,19 @@
                 let more = page.more && !page.items.is_empty();
                 if more {
                     snapshot.items.extend(page.items.iter().cloned());
-                    return Ok(StoreEvent::Page(page.items));
+                    return StoreEvent::Page(page.items);
                 }
                 snapshot.items.extend(page.items);
                 let snapshot = std::mem::take(snapshot);
                 *self = Self::Following(snapshot.revision);
-                Ok(StoreEvent::Snapshot(snapshot))
+                StoreEvent::Snapshot(snapshot)
+            }
+            (StoreReply::Page(page), _) => StoreEvent::Page(page.items),
+            (StoreReply::Changes(changes), position) => {
+                if let Self::Following(revision) = position {
+                    *revision = changes.revision.max(*revision);
+                }
+                StoreEvent::Changes(changes)
             }
         }
     }
@@ -132,11 +158,12 @@
     mut commands: UnboundedReceiver<StoreCommand>,
 ) {
     let mut position = StorePosition::start();
+    let mut era = StoreEra::default();
     let mut backoff = INITIAL_BACKOFF;
     loop {
         let following = matches!(position, StorePosition::Following(_));
         let outcome = {
-            let mut request = pin!(position.request_next(&mut source));
+            let mut request = pin!(position.request_next(&mut source, era));
             loop {
                 tokio::select! {
                     result = &mut request => break Ok(result),
@@ -149,28 +176,36 @@
                 }
             }
         };
-        let (event, pause) = match outcome {
+        let answer = match outcome {
+            Ok(answer) => answer,
             Err(command) => {
                 position = StorePosition::after(command);
                 continue;
             }
-            Ok(Ok(event)) => {
+        };
+        if answer.era != era {
+            era = answer.era;
+            if events.send(StoreEvent::EraChanged(era)).is_err() {
+                return;
+            }
+        }
+        let (event, pause) = match answer.result {
+            Ok(reply) => {
                 backoff = INITIAL_BACKOFF;
+                let event = position.advance(reply);
                 let changed = matches!(&event, StoreEvent::Changes(new) if !new.changes.is_empty());
-                (
-                    event,
-                    if changed {
-                        CHANGES_DELAY
-                    } else {
-                        Duration::ZERO
-                    },
-                )
+                let pause = if changed {
+                    CHANGES_DELAY
+                } else {
+                    Duration::ZERO
+                };
+                (event, pause)
             }
-            Ok(Err(StoreFault::HistoryLost)) => {
+            Err(StoreFault::HistoryLost) => {
                 position = StorePosition::start();
                 (StoreEvent::HistoryLost, REREAD_DELAY)
             }
-            Ok(Err(StoreFault::Failed(error))) => {
+            Err(StoreFault::Failed(error)) => {
                 let pause = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
                 backoff = (backoff * 2).min(MAX_BACKOFF);
                 (StoreEvent::Failed(error), pause)
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -33,6 +33,8 @@
     pub lines_left_out: IntCounter,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Number of times that the store was restored from an older copy, as it last said.
+    pub store_era: IntGauge,
     /// Revision of the store up to which all changes are known to this router.
     pub store_revision: IntGauge,
     /// Milliseconds since the time up to which all changes of the store are known.
@@ -107,6 +109,10 @@
                 "Log lines dropped by the rate limits",
             )?,
             config_version: gauge("config_version", "Version of the configuration in force")?,
+            store_era: gauge(
+                "store_era",
+                "Number of times that the store was restored from an older copy",
+            )?,
             store_revision: gauge(
                 "store_revision",
                 "Revision of the store up to which all changes are known",
--- a/src/store_source.rs
+++ b/src/store_source.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::fleet::store_stamp::StoreEra;
 use crate::fleet::store_view::{StoreChange, StoreItem, StoreRevision};
 
 /// Why a request to the store failed.
@@ -23,6 +24,28 @@
     }
 }
 
+/// The outcome of a request to the store.
+#[derive(Debug)]
+pub struct StoreAnswer<T> {
+    /// Era of the store according to its response; the last known one if there is no response or
+    /// it names none.
+    pub era: StoreEra,
+    pub result: Result<T, StoreFault>,
+}
+
+impl<T> StoreAnswer<T> {
+    /// Converts the content of a response.
+    pub fn and_then<U, F>(self, convert: F) -> StoreAnswer<U>
+    where
+        F: FnOnce(T) -> Result<U, StoreFault>,
+    {
+        StoreAnswer {
+            era: self.era,
+            result: self.result.and_then(convert),
+        }
+    }
+}
+
 /// Changes after a revision of the store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreChanges {
@@ -44,13 +67,19 @@
 
 /// A client of the store that reads documents and watches for changes.
 pub trait StoreSource: Send + 'static {
-    /// Reads the first documents whose keys are larger than `after`.
-    fn page(&mut self, after: &str) -> impl Future<Output = Result<StorePage, StoreFault>>;
+    /// Reads the first documents whose keys are larger than `after`. `known` is the last known era.
+    fn page(
+        &mut self,
+        after: &str,
+        known: StoreEra,
+    ) -> impl Future<Output = StoreAnswer<StorePage>>;
 
     /// Waits for changes after a revision. Returns without changes if there are none within `wait`.
+    /// `known` is the last known era.
     fn watch(
         &mut self,
         after: StoreRevision,
+        known: StoreEra,
         wait: Duration,
-    ) -> impl Future<Output = Result<StoreChanges, StoreFault>>;
+    ) -> impl Future<Output = StoreAnswer<StoreChanges>>;
 }
