--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -10,7 +10,7 @@
 
 /// Events that change a router's cached state, or whether it runs. They are shown if they occur
 /// while the router handles the request.
-const STATE_CHANGE_EVENTS: [&str; 14] = [
+const STATE_CHANGE_EVENTS: [&str; 15] = [
     "config-accepted",
     "documents-from-peer",
     "member-changed",
@@ -21,6 +21,7 @@
     "stage",
     "start",
     "stop",
+    "store-era",
     "store-history-lost",
     "store-lost",
     "store-regained",
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Last known state of the fleet as one router sees it (configuration, store documents, peers and
 //! upstreams), and the detection of pauses, after which that state may be outdated.
 
+mod cached_entry;
 pub mod config_state;
 pub mod fetch_plan;
 pub mod member_table;
--- a/src/fleet/fetch_plan.rs
+++ b/src/fleet/fetch_plan.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use crate::fleet::store_view::StoreRevision;
+use crate::fleet::store_stamp::StoreStamp;
 use crate::mono::MonoTime;
 use crate::route::ConfigVersion;
 
@@ -30,14 +30,14 @@
 pub struct DocumentState {
     /// Version of the configuration in force.
     pub version: ConfigVersion,
-    /// Revision up to which all changes were merged.
-    pub revision: StoreRevision,
+    /// State of the store up to which all changes were merged.
+    pub stamp: StoreStamp,
 }
 
 impl DocumentState {
     /// Returns whether this router has something that a router in state `other` lacks.
-    fn is_ahead_of(self, other: Self) -> bool {
-        self.version > other.version || self.revision > other.revision
+    pub fn is_ahead_of(self, other: Self) -> bool {
+        self.version > other.version || self.stamp > other.stamp
     }
 }
 
--- a/src/fleet/store_role.rs
+++ b/src/fleet/store_role.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::member_table::{MemberRecord, MemberStage, MemberTable};
-use crate::fleet::store_view::StoreRevision;
+use crate::fleet::store_stamp::StoreStamp;
 use crate::ids::DataCenterTag;
 use crate::mono::MonoTime;
 
@@ -28,12 +28,12 @@
 /// others again.
 const FRESH_SHARE: f64 = 0.7;
 
-/// A statement about the store: at some time its newest change had `revision`.
+/// A statement about the store: at some time `stamp` was its state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreReport {
-    /// Revision up to which the sender has all changes.
-    pub revision: StoreRevision,
-    /// How long ago this was the newest revision.
+    /// State up to which the sender has all changes.
+    pub stamp: StoreStamp,
+    /// How long ago this was the newest state.
     pub age: Duration,
 }
 
@@ -81,12 +81,12 @@
         self.confirmed = self.confirmed.max(Some(now));
     }
 
-    /// Records a peer's report. It counts only if this router has all changes that the peer has;
-    /// `revision` is the one up to which it has them.
-    pub fn record_report(&mut self, report: StoreReport, revision: StoreRevision, now: MonoTime) {
+    /// Records a peer's report. It counts only if this router has all changes that the peer has, up
+    /// to `own`. A report of an earlier era says nothing about the time since the store was restored.
+    pub fn record_report(&mut self, report: StoreReport, own: StoreStamp, now: MonoTime) {
+        let covers = own >= report.stamp && own.era == report.stamp.era;
         // A time before the start of this process's clock can't be expressed.
-        if revision >= report.revision && revision > StoreRevision::default() && report.age <= now.0
-        {
+        if covers && own > StoreStamp::default() && report.age <= now.0 {
             let at = Some(now.saturating_sub(report.age));
             self.relayed = self.relayed.max(at);
             self.confirmed = self.confirmed.max(at);
--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -1,15 +1,17 @@
 //! Last known content of the configuration store, received from the store itself or from peers.
 //!
-//! Each document carries the store's revision of its last change, so copies from any source are
-//! merged by taking the newer revision.
+//! Each entry carries the state of the store at its last change, so copies from any source are
+//! merged by taking the newer one. The configuration is ordered by its own version: a store that
+//! was restored from an older copy lists an older one for a while.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 
+use crate::fleet::cached_entry::{CachedEntry, EntryState, ListingVerdict};
+use crate::fleet::store_stamp::{StoreRevision, StoreStamp};
 use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::mono::MonoTime;
 use crate::route::{ConfigVersion, RouteTable};
@@ -22,6 +24,10 @@
 /// renew its entry.
 const EXPIRY_WINDOW: Duration = Duration::from_secs(3);
 
+/// How long an entry is not used that a restored store lists though it was removed before. A store
+/// drops entries whose upstreams are gone after three of their check-ins, well within this time.
+const WITHHOLD_SPAN: Duration = Duration::from_secs(10);
+
 /// How long removals are retained for peers whose view is older.
 const REMOVAL_RETENTION: Duration = Duration::from_mins(1);
 
@@ -31,24 +37,14 @@
 /// Maximum number of entries logged for one merge. The line about the merge counts all.
 pub const MAX_LOGGED_ENTRIES: usize = 20;
 
-/// Revision of the store, which increases with each change.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct StoreRevision(pub u64);
-
-impl fmt::Display for StoreRevision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
 /// A document in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoreItem {
     pub key: String,
     /// The undecoded content.
     pub value: Bytes,
-    /// Revision of its last change.
-    pub revision: StoreRevision,
+    /// State of the store at its last change, or in the era in which it was read.
+    pub stamp: StoreStamp,
 }
 
 /// A change in the store.
@@ -56,21 +52,36 @@
 pub enum StoreChange {
     /// A document was written.
     Written(StoreItem),
+    /// A peer knew an entry removed before the store was restored, which lists it again.
+    Withheld {
+        item: StoreItem,
+        /// How much longer the entry is not used.
+        span: Duration,
+    },
     /// A document was removed.
     Removed {
         key: String,
-        /// Revision of the removal.
-        revision: StoreRevision,
+        /// State of the store at the removal.
+        stamp: StoreStamp,
         /// How much longer the entry stays in use, if the removal may be an expiry; otherwise zero.
         grace: Duration,
     },
 }
 
-/// All documents of the store at one revision.
+impl StoreChange {
+    fn key(&self) -> &str {
+        match self {
+            Self::Written(item) | Self::Withheld { item, .. } => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+}
+
+/// All documents of the store in one state.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct StoreSnapshot {
-    /// Revision of the store when the read began.
-    pub revision: StoreRevision,
+    /// State of the store when the read began.
+    pub stamp: StoreStamp,
     pub items: Vec<StoreItem>,
 }
 
@@ -86,29 +97,13 @@
     fn decode_entry(&self, key: &str, value: &Bytes) -> Option<anyhow::Result<UpstreamEntry>>;
 }
 
-#[derive(Clone, Debug)]
-enum EntryState {
-    /// Registered; `None` in place of the entry if the document could not be decoded.
-    Present(Bytes, Option<Arc<UpstreamEntry>>),
-    /// Removed, but used until this time in case the removal was an expiry.
-    Expiring(MonoTime, Arc<UpstreamEntry>),
-    /// Removed at this time.
-    Removed(MonoTime),
-}
-
-#[derive(Clone, Debug)]
-struct CachedEntry {
-    revision: StoreRevision,
-    state: EntryState,
-}
-
 /// The configuration in force.
 #[derive(Clone, Debug)]
 pub struct CachedConfig {
     /// The undecoded document, which is sent to peers.
     pub value: Bytes,
-    /// Store revision of the document.
-    pub revision: StoreRevision,
+    /// State of the store at the last change of the document.
+    pub stamp: StoreStamp,
     pub table: Arc<RouteTable>,
 }
 
@@ -132,13 +127,18 @@
 #[derive(Debug)]
 pub struct StoreView<C> {
     codec: C,
-    /// Invariant: every change up to this revision has been merged.
-    revision: StoreRevision,
+    /// Invariant: every change up to this state has been merged.
+    stamp: StoreStamp,
+    /// Latest known era, with the revision at its first read: documents up to it may be older than
+    /// the era.
+    base: StoreStamp,
     config: Option<CachedConfig>,
+    /// State of the store at the last change of the configuration that was refused last.
+    refused_config: Option<StoreStamp>,
     entries: BTreeMap<String, CachedEntry>,
-    /// Highest revision of a removal that was discarded. Changes since an earlier revision are no
-    /// longer complete.
-    discarded: StoreRevision,
+    /// Latest state at a removal that was discarded. Changes since an earlier state are no longer
+    /// complete.
+    discarded: StoreStamp,
     /// Number of entries that the merge in progress may still log. A whole fleet of upstreams that
     /// is read at once would fill the log of each router.
     log_quota: usize,
@@ -147,23 +147,35 @@
 }
 
 impl<C: DocumentCodec> StoreView<C> {
-    /// Creates an empty view at revision zero.
+    /// Creates an empty view.
     pub fn new(codec: C) -> Self {
         Self {
             codec,
-            revision: StoreRevision::default(),
+            stamp: StoreStamp::default(),
+            base: StoreStamp::default(),
             config: None,
+            refused_config: None,
             entries: BTreeMap::new(),
-            discarded: StoreRevision::default(),
+            discarded: StoreStamp::default(),
             log_quota: MAX_LOGGED_ENTRIES,
             last_failure: None,
             recovered: None,
         }
     }
 
-    /// The revision up to which every change has been merged.
-    pub fn revision(&self) -> StoreRevision {
-        self.revision
+    /// The state of the store up to which every change has been merged.
+    pub fn stamp(&self) -> StoreStamp {
+        self.stamp
+    }
+
+    /// The revision up to which documents may be older than the era of [`StoreView::stamp`].
+    pub fn base_revision(&self) -> StoreRevision {
+        if self.base.era == self.stamp.era {
+            self.base.revision
+        } else {
+            // A later era has begun, of which not all documents have been read.
+            self.stamp.revision
+        }
     }
 
     /// The key of the configuration.
@@ -185,14 +197,14 @@
 
     /// The upstreams in use, including draining ones and those that may have expired.
     pub fn upstreams(&self) -> Vec<Arc<UpstreamEntry>> {
-        self.entries
-            .values()
-            .filter_map(|cached| match &cached.state {
-                EntryState::Present(_, entry) => entry.clone(),
-                EntryState::Expiring(_, entry) => Some(Arc::clone(entry)),
-                EntryState::Removed(_) => None,
-            })
-            .collect()
+        let usable = |cached: &CachedEntry| cached.state.usable().cloned();
+        self.entries.values().filter_map(usable).collect()
+    }
+
+    /// Number of entries that are not used because they were removed before the store was restored.
+    pub fn withheld_count(&self) -> usize {
+        let withheld = |cached: &&CachedEntry| matches!(cached.state, EntryState::Withheld(..));
+        self.entries.values().filter(withheld).count()
     }
 
     /// Records that the store did not respond or rejected a request, or that a pause of this
@@ -221,20 +233,40 @@
         EXPIRY_GRACE.saturating_sub(now.since(recovered))
     }
 
+    /// Records the first read of an era at `base`. If an earlier era was known, the store was
+    /// restored: entries that it lacks may be registered again, as after an outage.
+    fn begin_era(&mut self, base: StoreStamp, now: MonoTime) {
+        if base.era <= self.base.era {
+            return;
+        }
+        self.base = base;
+        if self.stamp != StoreStamp::default() {
+            self.last_failure = Some(now);
+            self.recovered = Some(now);
+        }
+    }
+
+    /// Whether a document may have been written before the store was restored.
+    fn may_predate_era(&self, stamp: StoreStamp) -> bool {
+        stamp <= self.base || stamp.era > self.base.era
+    }
+
     /// Merges a change that the store reported.
     pub fn merge_change(&mut self, change: StoreChange, now: MonoTime) -> MergeEffect {
         let grace = self.expiry_grace(now);
         match change {
-            StoreChange::Removed { key, revision, .. } => self.remove(&key, revision, grace, now),
-            StoreChange::Written(item) => self.write(item),
+            StoreChange::Removed { key, stamp, .. } => self.remove(&key, stamp, grace, now),
+            StoreChange::Written(item) | StoreChange::Withheld { item, .. } => {
+                self.write(item, Duration::ZERO, now)
+            }
         }
     }
 
-    /// Merges changes that the store reported, which are complete up to `revision`.
+    /// Merges changes that the store reported, which are complete up to `stamp`.
     pub fn merge_changes(
         &mut self,
         changes: Vec<StoreChange>,
-        revision: StoreRevision,
+        stamp: StoreStamp,
         now: MonoTime,
     ) -> MergeEffect {
         self.begin_log();
@@ -242,114 +274,133 @@
         for change in changes {
             effect.join(self.merge_change(change, now));
         }
-        self.advance(revision);
+        self.advance(stamp);
         effect
     }
 
-    /// Merges documents of the store before all of them were read.
-    pub fn merge_page(&mut self, items: Vec<StoreItem>) -> MergeEffect {
+    /// Merges documents of the store before all of them were read. `stamp` is the state of the
+    /// store at the read.
+    pub fn merge_page(
+        &mut self,
+        items: Vec<StoreItem>,
+        stamp: StoreStamp,
+        now: MonoTime,
+    ) -> MergeEffect {
+        self.begin_era(stamp, now);
         self.begin_log();
         let mut effect = MergeEffect::default();
         for item in items {
-            effect.join(self.write(item));
+            effect.join(self.write(item, Duration::ZERO, now));
         }
         effect
     }
 
-    /// Merges all documents of a peer, which together are complete up to `revision`. Entries that
-    /// are not among them were removed, but for those that this router knows from later revisions.
+    /// Merges all documents of a peer, which together are complete up to `stamp`. Entries that are
+    /// not among them were removed, but for those that this router knows from later states. `base`
+    /// is the peer's.
     pub fn merge_peer_snapshot(
         &mut self,
         changes: Vec<StoreChange>,
-        revision: StoreRevision,
+        stamp: StoreStamp,
+        base: StoreStamp,
         now: MonoTime,
     ) -> MergeEffect {
-        let listed: BTreeSet<&str> = changes
-            .iter()
-            .map(|change| match change {
-                StoreChange::Written(item) => item.key.as_str(),
-                StoreChange::Removed { key, .. } => key.as_str(),
-            })
-            .collect();
-        let missing = self.present_except(&listed, revision);
-        let mut effect = self.merge_peer(changes, revision, now);
+        let grace = if stamp.era > self.stamp.era {
+            EXPIRY_GRACE
+        } else {
+            Duration::ZERO
+        };
+        self.begin_era(base, now);
+        let listed: BTreeSet<&str> = changes.iter().map(StoreChange::key).collect();
+        let missing = self.listed_except(&listed, stamp);
+        let mut effect = self.merge_peer(changes, stamp, now);
         for key in missing {
-            effect.join(self.remove(&key, revision, Duration::ZERO, now));
+            effect.join(self.remove(&key, stamp, grace, now));
         }
-        self.discarded = self.discarded.max(revision);
+        self.discarded = self.discarded.max(stamp);
         effect
     }
 
-    /// Keys of the registered entries that are not newer than `revision` and not among `listed`.
-    fn present_except(&self, listed: &BTreeSet<&str>, revision: StoreRevision) -> Vec<String> {
+    /// Keys of the listed entries that are not newer than `stamp` and not among `listed`.
+    fn listed_except(&self, listed: &BTreeSet<&str>, stamp: StoreStamp) -> Vec<String> {
         self.entries
             .iter()
             .filter(|(key, cached)| {
-                cached.revision <= revision
-                    && matches!(cached.state, EntryState::Present(..))
-                    && !listed.contains(key.as_str())
+                cached.stamp <= stamp && cached.state.is_listed() && !listed.contains(key.as_str())
             })
             .map(|(key, _)| key.clone())
             .collect()
     }
 
-    /// Merges changes from a peer, which together are complete up to `revision`.
+    /// Merges changes from a peer, which together are complete up to `stamp`.
     pub fn merge_peer(
         &mut self,
         changes: Vec<StoreChange>,
-        revision: StoreRevision,
+        stamp: StoreStamp,
         now: MonoTime,
     ) -> MergeEffect {
         self.begin_log();
         let mut effect = MergeEffect::default();
         for change in changes {
             effect.join(match change {
-                StoreChange::Removed {
-                    key,
-                    revision,
-                    grace,
-                } => self.remove(&key, revision, grace.min(EXPIRY_GRACE), now),
-                StoreChange::Written(item) => self.write(item),
+                StoreChange::Removed { key, stamp, grace } => {
+                    self.remove(&key, stamp, grace.min(EXPIRY_GRACE), now)
+                }
+                StoreChange::Written(item) => self.write(item, Duration::ZERO, now),
+                StoreChange::Withheld { item, span } => {
+                    self.write(item, span.min(WITHHOLD_SPAN), now)
+                }
             });
         }
-        self.advance(revision);
+        self.advance(stamp);
         effect
     }
 
     /// Merges a full snapshot; entries that it doesn't contain were removed.
     pub fn merge_snapshot(&mut self, snapshot: StoreSnapshot, now: MonoTime) -> MergeEffect {
+        let StoreSnapshot { stamp, items } = snapshot;
+        self.begin_era(stamp, now);
         let grace = self.expiry_grace(now);
-        let listed: BTreeSet<&str> = snapshot.items.iter().map(|i| i.key.as_str()).collect();
-        let missing = self.present_except(&listed, snapshot.revision);
-        let mut effect = self.merge_page(snapshot.items);
+        let listed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+        let missing = self.listed_except(&listed, stamp);
+        let mut effect = self.merge_page(items, stamp, now);
         for key in missing {
-            effect.join(self.remove(&key, snapshot.revision, grace, now));
+            effect.join(self.remove(&key, stamp, grace, now));
         }
-        // What was written and removed again since the last revision is unknown.
-        self.discarded = self.discarded.max(snapshot.revision);
-        self.advance(snapshot.revision);
+        // What was written and removed again since the last state is unknown.
+        self.discarded = self.discarded.max(stamp);
+        self.advance(stamp);
         effect
     }
 
-    /// Raises the revision; the caller has merged all changes up to `revision`.
-    pub fn advance(&mut self, revision: StoreRevision) {
-        self.revision = self.revision.max(revision);
+    /// Raises the state; the caller has merged all changes up to `stamp`.
+    fn advance(&mut self, stamp: StoreStamp) {
+        self.stamp = self.stamp.max(stamp);
     }
 
-    /// Removes entries whose grace period has ended and discards old records of removals.
+    /// Removes entries whose grace period has ended, uses withheld ones that the store still lists,
+    /// and discards old records of removals.
     pub fn tick(&mut self, now: MonoTime) -> MergeEffect {
         let mut effect = MergeEffect::default();
-        for cached in self.entries.values_mut() {
-            if matches!(cached.state, EntryState::Expiring(until, _) if until <= now) {
-                cached.state = EntryState::Removed(now);
-                effect.upstreams = true;
+        for (key, cached) in &mut self.entries {
+            match &cached.state {
+                EntryState::Expiring(until, entry) if *until <= now => {
+                    cached.state = EntryState::Removed(now, entry.start);
+                    effect.upstreams = true;
+                }
+                EntryState::Withheld(until, value, entry) if *until <= now => {
+                    spdlog::info!("upstream-released", kv: { key: = key });
+                    cached.state = EntryState::Present(value.clone(), Some(Arc::clone(entry)));
+                    effect.upstreams = true;
+                }
+                _ => {}
             }
         }
         let discarded = &mut self.discarded;
         self.entries.retain(|_, cached| {
-            let outdated = matches!(cached.state, EntryState::Removed(at) if now.since(at) > REMOVAL_RETENTION);
+            let outdated = matches!(cached.state, EntryState::Removed(at, _) if now.since(at) > REMOVAL_RETENTION);
             if outdated {
-                *discarded = (*discarded).max(cached.revision);
+                *discarded = (*discarded).max(cached.stamp);
             }
             !outdated
         });
@@ -357,34 +408,39 @@
     }
 
     /// Whether [`StoreView::changes_since`] returns every change after `since`. Removals older than
-    /// `REMOVAL_RETENTION` are not retained.
-    pub fn has_changes_since(&self, since: StoreRevision) -> bool {
-        since >= self.discarded
+    /// `REMOVAL_RETENTION` are not retained, nor those between two eras.
+    pub fn has_changes_since(&self, since: StoreStamp) -> bool {
+        since >= self.discarded && since.era >= self.stamp.era
     }
 
     /// The changes after `since`, for a peer that has merged everything up to it.
-    pub fn changes_since(&self, since: StoreRevision, now: MonoTime) -> Vec<StoreChange> {
+    pub fn changes_since(&self, since: StoreStamp, now: MonoTime) -> Vec<StoreChange> {
         let newer = self
             .entries
             .iter()
-            .filter(|(_, cached)| cached.revision > since);
+            .filter(|(_, cached)| cached.stamp > since);
         newer
-            .map(|(key, cached)| match &cached.state {
-                EntryState::Present(value, _) => StoreChange::Written(StoreItem {
+            .map(|(key, cached)| {
+                let stamp = cached.stamp;
+                let item = |value: &Bytes| StoreItem {
                     key: key.clone(),
                     value: value.clone(),
-                    revision: cached.revision,
-                }),
-                EntryState::Expiring(until, _) => StoreChange::Removed {
-                    key: key.clone(),
-                    revision: cached.revision,
-                    grace: until.since(now),
-                },
-                EntryState::Removed(_) => StoreChange::Removed {
+                    stamp,
+                };
+                let removed = |grace: Duration| StoreChange::Removed {
                     key: key.clone(),
-                    revision: cached.revision,
-                    grace: Duration::ZERO,
-                },
+                    stamp,
+                    grace,
+                };
+                match &cached.state {
+                    EntryState::Present(value, _) => StoreChange::Written(item(value)),
+                    EntryState::Withheld(until, value, _) => StoreChange::Withheld {
+                        item: item(value),
+                        span: until.since(now),
+                    },
+                    EntryState::Expiring(until, _) => removed(until.since(now)),
+                    EntryState::Removed(..) => removed(Duration::ZERO),
+                }
             })
             .collect()
     }
@@ -401,46 +457,69 @@
         self.log_quota = MAX_LOGGED_ENTRIES;
     }
 
-    fn write(&mut self, item: StoreItem) -> MergeEffect {
+    /// Merges a document. An entry with a positive `withheld` is not used for that time, unless this
+    /// router knows better.
+    fn write(&mut self, item: StoreItem, withheld: Duration, now: MonoTime) -> MergeEffect {
         if item.key == self.codec.config_key() {
             return self.write_config(item);
         }
+        // All entries of a later era have been merged.
+        if item.stamp.era < self.stamp.era {
+            return MergeEffect::default();
+        }
         let Some(decoded) = self.codec.decode_entry(&item.key, &item.value) else {
             return MergeEffect::default();
         };
         let known = self.entries.get(&item.key);
-        if known.is_some_and(|cached| cached.revision >= item.revision) {
+        if known.is_some_and(|cached| cached.stamp >= item.stamp) {
             return MergeEffect::default();
         }
         let entry = match decoded {
             Ok(entry) => Some(Arc::new(entry)),
             Err(error) => {
                 spdlog::warn!("entry-unusable", kv: {
-                    key: = item.key, revision: = item.revision, reason: = error
+                    key: = item.key, revision: = item.stamp.revision, era: = item.stamp.era,
+                    reason: = error
                 });
                 None
             }
         };
-        let before = known.and_then(|cached| match &cached.state {
-            EntryState::Present(_, entry) => entry.clone(),
-            EntryState::Expiring(_, entry) => Some(Arc::clone(entry)),
-            EntryState::Removed(_) => None,
-        });
-        let changed = before != entry;
-        if changed
-            && let Some(entry) = &entry
+        let before = known.and_then(|cached| cached.state.usable().cloned());
+        let doubtful = known
+            .filter(|cached| cached.stamp.era < item.stamp.era && self.may_predate_era(item.stamp));
+        let state = match (doubtful, entry) {
+            (Some(known), Some(entry)) => {
+                restored_state(&known.state, item.value, entry, withheld, now)
+            }
+            (_, Some(entry)) if !withheld.is_zero() => {
+                EntryState::Withheld(now + withheld, item.value, entry)
+            }
+            (_, entry) => EntryState::Present(item.value, entry),
+        };
+        let after = state.usable().cloned();
+        let is_withheld = matches!(state, EntryState::Withheld(..));
+        let cached = CachedEntry {
+            stamp: item.stamp,
+            state,
+        };
+        self.entries.insert(item.key.clone(), cached);
+        let changed = before != after;
+        let (revision, era) = (item.stamp.revision, item.stamp.era);
+        if is_withheld {
+            if self.may_log_entry() {
+                spdlog::info!("upstream-withheld", kv: {
+                    key: = item.key, revision: = revision, era: = era
+                });
+            }
+        } else if changed
+            && let Some(entry) = &after
             && self.may_log_entry()
         {
             spdlog::info!("upstream-known", kv: {
                 upstream: = entry.id, service: = entry.service, address: = entry.address,
-                state:? = entry.state, revision: = item.revision
+                state:? = entry.state, revision: = revision, era: = era
             });
         }
-        let cached = CachedEntry {
-            revision: item.revision,
-            state: EntryState::Present(item.value, entry),
-        };
-        self.entries.insert(item.key, cached);
         MergeEffect {
             config: false,
             upstreams: changed,
@@ -448,43 +527,44 @@
     }
 
     fn write_config(&mut self, item: StoreItem) -> MergeEffect {
-        if let Some(config) = &self.config
-            && config.revision >= item.revision
+        if let Some(config) = &mut self.config
+            && config.value == item.value
         {
-            if config.value != item.value {
-                spdlog::warn!("config-skipped", kv: {
-                    revision: = item.revision, in_force: = config.table.version,
-                    in_force_revision: = config.revision
-                });
-            }
+            config.stamp = config.stamp.max(item.stamp);
+            return MergeEffect::default();
+        }
+        // A document that was refused is read again with each whole read.
+        if self.refused_config == Some(item.stamp) {
             return MergeEffect::default();
         }
         let table = match self.codec.decode_config(&item.value) {
             Ok(table) => table,
             Err(error) => {
                 spdlog::error!("config-rejected", kv: {
-                    revision: = item.revision, reason: = error
+                    revision: = item.stamp.revision, era: = item.stamp.era, reason: = error
                 });
+                self.refused_config = Some(item.stamp);
                 return MergeEffect::default();
             }
         };
         if self.config.is_some() && table.version <= self.config_version() {
             spdlog::warn!("config-older", kv: {
                 version: = table.version, in_force: = self.config_version(),
-                revision: = item.revision
+                revision: = item.stamp.revision, era: = item.stamp.era
             });
+            self.refused_config = Some(item.stamp);
             return MergeEffect::default();
         }
         spdlog::info!("config-accepted", kv: {
-            version: = table.version, revision: = item.revision, routes: = table.route_count(),
-            faults: = table.faults().len()
+            version: = table.version, revision: = item.stamp.revision, era: = item.stamp.era,
+            routes: = table.route_count(), faults: = table.faults().len()
         });
         for fault in table.faults().iter().take(MAX_LOGGED_FAULTS) {
             spdlog::warn!("config-fault", kv: { version: = table.version, reason: = fault });
         }
         self.config = Some(CachedConfig {
             value: item.value,
-            revision: item.revision,
+            stamp: item.stamp,
             table: Arc::new(table),
         });
         MergeEffect {
@@ -496,33 +576,32 @@
     fn remove(
         &mut self,
         key: &str,
-        revision: StoreRevision,
+        stamp: StoreStamp,
         grace: Duration,
         now: MonoTime,
     ) -> MergeEffect {
+        if stamp.era < self.stamp.era {
+            return MergeEffect::default();
+        }
         let Some(cached) = self.entries.get_mut(key) else {
             // Retained for peers that know the entry.
-            let state = EntryState::Removed(now);
+            let state = EntryState::Removed(now, None);
             self.entries
-                .insert(key.to_owned(), CachedEntry { revision, state });
+                .insert(key.to_owned(), CachedEntry { stamp, state });
             return MergeEffect::default();
         };
-        if cached.revision >= revision {
+        if cached.stamp >= stamp {
             return MergeEffect::default();
         }
-        let entry = match &cached.state {
-            EntryState::Present(_, entry) => entry.clone(),
-            EntryState::Expiring(_, entry) => Some(Arc::clone(entry)),
-            EntryState::Removed(_) => None,
-        };
-        cached.revision = revision;
-        cached.state = match entry {
-            Some(entry) if !grace.is_zero() => EntryState::Expiring(now + grace, entry),
-            _ => EntryState::Removed(now),
+        cached.stamp = stamp;
+        cached.state = match cached.state.usable() {
+            Some(entry) if !grace.is_zero() => EntryState::Expiring(now + grace, Arc::clone(entry)),
+            _ => EntryState::Removed(now, cached.state.start()),
         };
         if self.may_log_entry() {
             spdlog::info!("upstream-removed", kv: {
-                key: = key, revision: = revision, hold_ms: = grace.as_millis()
+                key: = key, revision: = stamp.revision, era: = stamp.era,
+                hold_ms: = grace.as_millis()
             });
         }
         MergeEffect {
@@ -531,3 +610,29 @@
         }
     }
 }
+
+/// State of an entry that was `known` before the store was restored and is `listed` since. A peer may
+/// have `withheld` it.
+fn restored_state(
+    known: &EntryState,
+    value: Bytes,
+    listed: Arc<UpstreamEntry>,
+    withheld: Duration,
+    now: MonoTime,
+) -> EntryState {
+    match (known.judge_listing(&listed), known) {
+        (ListingVerdict::Holds, _) if !withheld.is_zero() => {
+            EntryState::Withheld(now + withheld, value, listed)
+        }
+        (ListingVerdict::Holds, _) => EntryState::Present(value, Some(listed)),
+        (ListingVerdict::Doubtful, _) => EntryState::Withheld(now + WITHHOLD_SPAN, value, listed),
+        // The copy lacks the later run, which may register again.
+        (ListingVerdict::EarlierRun, EntryState::Present(_, Some(entry))) => {
+            EntryState::Expiring(now + EXPIRY_GRACE, Arc::clone(entry))
+        }
+        (ListingVerdict::EarlierRun, EntryState::Withheld(..)) => {
+            EntryState::Removed(now, known.start())
+        }
+        (ListingVerdict::StillDraining | ListingVerdict::EarlierRun, known) => known.clone(),
+    }
+}
--- a/src/fleet/upstream_entry.rs
+++ b/src/fleet/upstream_entry.rs
@@ -1,6 +1,9 @@
 //! Registration of an upstream in the configuration store.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::num::ParseIntError;
+use std::str::FromStr;
 use std::time::Duration;
 
 use crate::ids::{DataCenterId, ServiceId, UpstreamId};
@@ -14,6 +17,24 @@
     Draining,
 }
 
+/// Unix milliseconds at which an upstream started, by its own clock.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct UpstreamStart(pub u64);
+
+impl fmt::Display for UpstreamStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for UpstreamStart {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse().map(Self)
+    }
+}
+
 /// One registered upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UpstreamEntry {
@@ -29,4 +50,6 @@
     pub state: ServingState,
     /// How long it is slower than usual after its start.
     pub warm_up: Duration,
+    /// When it started, which tells apart two runs under one id; `None` if its entry doesn't say.
+    pub start: Option<UpstreamStart>,
 }
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -13,10 +13,8 @@
 use crate::fleet::fetch_plan::FetchPlan;
 use crate::fleet::member_table::{MemberRecord, MemberStage, MemberTable};
 use crate::fleet::store_role::StoreRole;
-use crate::fleet::store_stamp::StoreEra;
-use crate::fleet::store_view::{
-    DocumentCodec, MAX_LOGGED_ENTRIES, MergeEffect, StoreRevision, StoreView,
-};
+use crate::fleet::store_stamp::StoreStamp;
+use crate::fleet::store_view::{DocumentCodec, MAX_LOGGED_ENTRIES, MergeEffect, StoreView};
 use crate::forward_board::{ForwardBoard, ForwardStage};
 use crate::forward_control::SettingsSource;
 use crate::forward_control::store_task::{StoreCommand, StoreEvent};
@@ -61,10 +59,8 @@
     /// When the store last delivered anything, or when the process started.
     store_active: MonoTime,
     store_unreachable: bool,
-    /// Era that the store last named.
-    store_era: StoreEra,
-    /// Revision that the last notice to peers announced.
-    noticed: StoreRevision,
+    /// State of the store that the last notice to peers announced.
+    noticed: StoreStamp,
     stop_requested: Option<MonoTime>,
     last_tick: MonoTime,
     ticks: u64,
@@ -102,8 +98,7 @@
             fetch_plan: FetchPlan::default(),
             store_active: now,
             store_unreachable: false,
-            store_era: StoreEra::default(),
-            noticed: StoreRevision::default(),
+            noticed: StoreStamp::default(),
             stop_requested: None,
             last_tick: now,
             ticks: 0,
@@ -150,30 +145,32 @@
         let mut members = MemberColumns::default();
         members.push(&self.members.own(), Duration::ZERO);
         let age = self.store_role.age(now);
+        let stamp = self.store_view.stamp();
         HeartbeatFrame {
             members: Some(members),
             config_version: self.store_view.config_version().0,
-            store_revision: self.store_view.revision().0,
+            store_revision: stamp.revision.0,
             loads: None,
             store_age_ms: age.map(|age| age.as_millis() as u64),
             parts: None,
             rates: None,
+            store_era: stamp.era.0,
         }
     }
 
     /// Returns a notice of changes that no notice has announced yet, and the addresses to send it
     /// to.
     pub fn take_notice(&mut self) -> Option<(Vec<u8>, Vec<SocketAddr>)> {
-        let revision = self.store_view.revision();
+        let stamp = self.store_view.stamp();
         let parts = self.board.suspect_parts().take_notice();
-        if revision <= self.noticed && parts.is_empty() {
+        if stamp <= self.noticed && parts.is_empty() {
             return None;
         }
         let now = self.now();
         let mut frame = self.notice_frame(now);
         let mut targets = Vec::new();
-        if revision > self.noticed {
-            self.noticed = revision;
+        if stamp > self.noticed {
+            self.noticed = stamp;
             targets = self.members.notice_targets(now, &mut rand::rng());
         }
         if !parts.is_empty() {
@@ -223,8 +220,8 @@
             self.publish_members(now);
         }
         if let Some(report) = frame.store_report() {
-            let revision = self.store_view.revision();
-            self.store_role.record_report(report, revision, now);
+            let stamp = self.store_view.stamp();
+            self.store_role.record_report(report, stamp, now);
         }
         self.record_newer_peer(&sender, &frame);
         if new {
@@ -240,21 +237,21 @@
     pub fn merge_store_event(&mut self, event: StoreEvent) {
         let now = self.now();
         let effect = match event {
-            StoreEvent::EraChanged(era) => {
+            StoreEvent::EraBegan { era, before } => {
                 spdlog::info!("store-era", kv: {
-                    era: = era, before: = self.store_era, revision: = self.store_view.revision()
+                    era: = era, before: = before, revision: = self.store_view.stamp().revision
                 });
-                self.store_era = era;
                 return;
             }
-            StoreEvent::Page(items) => {
+            StoreEvent::Page(page) => {
                 self.store_active = now;
-                self.store_view.merge_page(items)
+                self.store_view.merge_page(page.items, page.stamp, now)
             }
             StoreEvent::Snapshot(snapshot) => {
                 self.record_store_response(now);
                 spdlog::info!("store-read", kv: {
-                    revision: = snapshot.revision, documents: = snapshot.items.len()
+                    revision: = snapshot.stamp.revision, era: = snapshot.stamp.era,
+                    documents: = snapshot.items.len()
                 });
                 self.store_view.merge_snapshot(snapshot, now)
             }
@@ -262,22 +259,25 @@
                 self.record_store_response(now);
                 if update.changes.len() > MAX_LOGGED_ENTRIES {
                     spdlog::info!("store-changes", kv: {
-                        revision: = update.revision, changes: = update.changes.len()
+                        revision: = update.stamp.revision, era: = update.stamp.era,
+                        changes: = update.changes.len()
                     });
                 }
                 self.store_view
-                    .merge_changes(update.changes, update.revision, now)
+                    .merge_changes(update.changes, update.stamp, now)
             }
             StoreEvent::HistoryLost => {
+                let stamp = self.store_view.stamp();
                 spdlog::warn!("store-history-lost", kv: {
-                    revision: = self.store_view.revision()
+                    revision: = stamp.revision, era: = stamp.era
                 });
                 return;
             }
             StoreEvent::Failed(error) => {
                 if !self.store_unreachable {
                     spdlog::warn!("store-lost", kv: {
-                        reason: = format!("{error:#}"), revision: = self.store_view.revision()
+                        reason: = format!("{error:#}"),
+                        revision: = self.store_view.stamp().revision
                     });
                 }
                 self.store_unreachable = true;
@@ -297,7 +297,7 @@
             .store(responded, Ordering::Relaxed);
         self.store_view.store_responded(now);
         if std::mem::take(&mut self.store_unreachable) {
-            spdlog::info!("store-regained", kv: { revision: = self.store_view.revision() });
+            spdlog::info!("store-regained", kv: { revision: = self.store_view.stamp().revision });
         }
     }
 
@@ -343,7 +343,7 @@
         self.board.set_stage(stage);
         spdlog::info!("stage", kv: {
             stage: = stage.label(), config: = self.store_view.config_version(),
-            revision: = self.store_view.revision(),
+            revision: = self.store_view.stamp().revision,
             calls: = self.board.calls.load(Ordering::Relaxed)
         });
         self.members.set_stage(match stage {
@@ -419,20 +419,21 @@
     /// Decides again whether this router reads the store. A booting router always does.
     fn update_role(&mut self, now: MonoTime) -> Option<StoreCommand> {
         if self.board.stage() == ForwardStage::Booting
-            || self.store_view.revision() == StoreRevision::default()
+            || self.store_view.stamp() == StoreStamp::default()
             || !self.store_role.update(&self.members, now)
         {
             return None;
         }
         let reading = self.store_role.is_reading();
+        let stamp = self.store_view.stamp();
         let age = self.store_role.age(now).unwrap_or(now.0);
         spdlog::info!("store-role", kv: {
             reading: = reading, age_ms: = age.as_millis(),
-            revision: = self.store_view.revision(), routers: = self.members.live(now).len()
+            revision: = stamp.revision, era: = stamp.era, routers: = self.members.live(now).len()
         });
         if reading {
             self.store_active = now;
-            return Some(StoreCommand::FollowFrom(self.store_view.revision()));
+            return Some(StoreCommand::FollowFrom(stamp));
         }
         self.store_unreachable = false;
         Some(StoreCommand::Suspend)
@@ -444,8 +445,9 @@
             &telemetry.config_version,
             self.store_view.config_version().0,
         );
-        set_count(&telemetry.store_era, self.store_era.0);
-        set_count(&telemetry.store_revision, self.store_view.revision().0);
+        let stamp = self.store_view.stamp();
+        set_count(&telemetry.store_era, stamp.era.0);
+        set_count(&telemetry.store_revision, stamp.revision.0);
         let age = self.store_role.age(now).unwrap_or(now.0);
         set_count(&telemetry.store_age_ms, age.as_millis());
         set_count(
@@ -453,6 +455,8 @@
             u8::from(self.store_role.is_reading()),
         );
         set_count(&telemetry.upstreams, self.board.upstreams.load().len());
+        let withheld = self.store_view.withheld_count();
+        set_count(&telemetry.upstreams_withheld, withheld);
         set_count(&telemetry.calls_open, calls);
     }
 
--- a/src/forward_control/control_state/peer_documents.rs
+++ b/src/forward_control/control_state/peer_documents.rs
@@ -6,19 +6,24 @@
 use crate::error::RouterResult;
 use crate::fleet::fetch_plan::{DocumentState, FetchContext};
 use crate::fleet::member_table::MemberRecord;
-use crate::fleet::store_view::{DocumentCodec, StoreChange, StoreItem, StoreRevision};
+use crate::fleet::store_stamp::StoreStamp;
+use crate::fleet::store_view::{DocumentCodec, StoreChange, StoreItem};
 use crate::forward_board::ForwardStage;
 use crate::gossip::frames::{DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame};
 use crate::route::ConfigVersion;
 
 impl<C: DocumentCodec> ControlState<C> {
+    fn document_state(&self) -> DocumentState {
+        DocumentState {
+            version: self.store_view.config_version(),
+            stamp: self.store_view.stamp(),
+        }
+    }
+
     fn fetch_context(&self) -> FetchContext {
         FetchContext {
             now: self.now(),
-            own: DocumentState {
-                version: self.store_view.config_version(),
-                revision: self.store_view.revision(),
-            },
+            own: self.document_state(),
             booting: self.board.stage() == ForwardStage::Booting,
             reading: self.store_role.is_reading(),
             store_failed: self.store_unreachable,
@@ -30,7 +35,7 @@
     pub(super) fn record_newer_peer(&mut self, peer: &MemberRecord, frame: &HeartbeatFrame) {
         let state = DocumentState {
             version: ConfigVersion(frame.config_version),
-            revision: StoreRevision(frame.store_revision),
+            stamp: frame.store_stamp(),
         };
         let is_local = peer.data_center == self.members.own().data_center;
         let context = self.fetch_context();
@@ -45,7 +50,8 @@
         let port = self.board.settings.load().control.port();
         let request = DocumentRequest {
             config_version: context.own.version.0,
-            store_revision: context.own.revision.0,
+            store_revision: context.own.stamp.revision.0,
+            store_era: context.own.stamp.era.0,
         };
         Some((SocketAddrV4::new(peer, port), request))
     }
@@ -53,13 +59,9 @@
     /// Builds the response to a peer: the documents that are newer than its own.
     pub fn respond(&self, request: DocumentRequest) -> DocumentResponse {
         let now = self.now();
-        let since = StoreRevision(request.store_revision);
+        let since = request.store_stamp();
         let full = !self.store_view.has_changes_since(since);
-        let since = if full {
-            StoreRevision::default()
-        } else {
-            since
-        };
+        let since = if full { StoreStamp::default() } else { since };
         let mut documents: Vec<DocumentFrame> = self
             .store_view
             .changes_since(since, now)
@@ -72,48 +74,53 @@
             let item = StoreItem {
                 key: self.store_view.config_key().to_owned(),
                 value: config.value.clone(),
-                revision: config.revision,
+                stamp: config.stamp,
             };
             documents.push(StoreChange::Written(item).into());
         }
+        let stamp = self.store_view.stamp();
         DocumentResponse {
             documents,
-            store_revision: self.store_view.revision().0,
+            store_revision: stamp.revision.0,
             full,
+            store_era: stamp.era.0,
+            base_revision: self.store_view.base_revision().0,
         }
     }
 
-    /// Merges the response of a peer. Returns the revision up to which this router now has all
+    /// Merges the response of a peer. Returns the state up to which this router now has all
     /// documents, if it had none before.
     pub fn merge_response(
         &mut self,
         peer: SocketAddrV4,
         response: RouterResult<DocumentResponse>,
-    ) -> Option<StoreRevision> {
+    ) -> Option<StoreStamp> {
         let now = self.now();
         match response {
             Ok(response) => {
                 let count = response.documents.len();
-                let revision = StoreRevision(response.store_revision);
-                let was_empty = self.store_view.revision() == StoreRevision::default();
+                let (stamp, base) = (response.store_stamp(), response.base());
+                let before = self.document_state();
                 let changes = response
                     .documents
                     .into_iter()
                     .map(StoreChange::from)
                     .collect();
-                self.fetch_plan
-                    .end_fetch(revision > self.store_view.revision(), now);
                 let effect = if response.full {
-                    self.store_view.merge_peer_snapshot(changes, revision, now)
+                    self.store_view
+                        .merge_peer_snapshot(changes, stamp, base, now)
                 } else {
-                    self.store_view.merge_peer(changes, revision, now)
+                    self.store_view.merge_peer(changes, stamp, now)
                 };
+                self.fetch_plan
+                    .end_fetch(self.document_state().is_ahead_of(before), now);
                 spdlog::info!("documents-from-peer", kv: {
-                    peer: = peer, documents: = count, revision: = revision,
+                    peer: = peer, documents: = count, full: = response.full,
+                    revision: = stamp.revision, era: = stamp.era,
                     version: = self.store_view.config_version()
                 });
                 self.publish(effect);
-                was_empty.then_some(revision)
+                (before.stamp == StoreStamp::default()).then_some(stamp)
             }
             Err(error) => {
                 self.fetch_plan.end_fetch(false, now);
--- a/src/forward_control/store_task.rs
+++ b/src/forward_control/store_task.rs
@@ -6,8 +6,8 @@
 use rand::RngExt;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
-use crate::fleet::store_stamp::StoreEra;
-use crate::fleet::store_view::{StoreItem, StoreRevision, StoreSnapshot};
+use crate::fleet::store_stamp::{StoreEra, StoreStamp};
+use crate::fleet::store_view::StoreSnapshot;
 use crate::store_source::{StoreAnswer, StoreChanges, StoreFault, StorePage, StoreSource};
 
 /// Longest wait after the first failure; it doubles with each further one, up to [`MAX_BACKOFF`].
@@ -31,17 +31,19 @@
 /// change must be in force.
 const CHANGES_DELAY: Duration = Duration::from_millis(450);
 
-/// Wait before all documents are read again, so that a store that repeatedly discards its history
-/// does not receive requests in a tight loop.
+/// Shortest wait before all documents are read again, so that a store that repeatedly discards its
+/// history does not receive requests in a tight loop. The longest is three times as long, so that
+/// not all readers read at the same moment.
 const REREAD_DELAY: Duration = Duration::from_millis(50);
 
 /// What the task reports to the control thread.
 #[derive(Debug)]
 pub enum StoreEvent {
-    /// A response names another era than those before, or the first one.
-    EraChanged(StoreEra),
+    /// A response names a later era than `before`. Unless it is the first response, the store was
+    /// restored from an older copy, and all documents are read again.
+    EraBegan { era: StoreEra, before: StoreEra },
     /// A page was read, and more pages follow.
-    Page(Vec<StoreItem>),
+    Page(StorePage),
     /// All documents were read.
     Snapshot(StoreSnapshot),
     /// The store reported changes, or none within its waiting time.
@@ -58,10 +60,10 @@
     /// Drops the pending request and reads all documents again. Sent after a pause of the process,
     /// because a request from before it may never get a response.
     Restart,
-    /// Watches for changes after this revision, unless a watch is in progress. Sent to a router
-    /// without documents once a peer has delivered all of them up to this revision, and to a router
+    /// Watches for changes after this state, unless a watch is in progress. Sent to a router
+    /// without documents once a peer has delivered all of them up to this state, and to a router
     /// that begins to read the store.
-    FollowFrom(StoreRevision),
+    FollowFrom(StoreStamp),
     /// Drops the pending request and sends no more until the next command. Sent to a router that
     /// leaves the reading to its peers.
     Suspend,
@@ -79,8 +81,8 @@
 enum StorePosition {
     /// Reads the store page by page; contains the documents that were read so far.
     Reading(StoreSnapshot),
-    /// Watches for changes; all changes up to this revision have been received.
-    Following(StoreRevision),
+    /// Watches for changes; all changes up to this state have been received.
+    Following(StoreStamp),
     /// Sends no requests.
     Suspended,
 }
@@ -90,10 +92,15 @@
         Self::Reading(StoreSnapshot::default())
     }
 
+    /// Whether the next response begins a read of all documents.
+    fn is_start(&self) -> bool {
+        matches!(self, Self::Reading(snapshot) if snapshot.items.is_empty())
+    }
+
     fn after(command: StoreCommand) -> Self {
         match command {
             StoreCommand::Restart => Self::start(),
-            StoreCommand::FollowFrom(revision) => Self::Following(revision),
+            StoreCommand::FollowFrom(stamp) => Self::Following(stamp),
             StoreCommand::Suspend => Self::Suspended,
         }
     }
@@ -106,9 +113,9 @@
     ) -> StoreAnswer<StoreReply> {
         match self {
             Self::Suspended => std::future::pending().await,
-            Self::Following(revision) => {
+            Self::Following(stamp) => {
                 let wait = WATCH_WAIT.mul_f64(rand::rng().random_range(MIN_WAIT_SHARE..1.0));
-                let answer = source.watch(*revision, known, wait).await;
+                let answer = source.watch(*stamp, wait).await;
                 answer.and_then(|changes| Ok(StoreReply::Changes(changes)))
             }
             Self::Reading(snapshot) => {
@@ -126,24 +133,24 @@
         match (reply, &mut *self) {
             (StoreReply::Page(page), Self::Reading(snapshot)) => {
                 if snapshot.items.is_empty() {
-                    // Pages are read at different times. Watching starts at the revision of the
+                    // Pages are read at different times. Watching starts at the state of the
                     // first page, so changes made since then are delivered as well.
-                    snapshot.revision = page.revision;
+                    snapshot.stamp = page.stamp;
                 }
                 let more = page.more && !page.items.is_empty();
                 if more {
                     snapshot.items.extend(page.items.iter().cloned());
-                    return StoreEvent::Page(page.items);
+                    return StoreEvent::Page(page);
                 }
                 snapshot.items.extend(page.items);
                 let snapshot = std::mem::take(snapshot);
-                *self = Self::Following(snapshot.revision);
+                *self = Self::Following(snapshot.stamp);
                 StoreEvent::Snapshot(snapshot)
             }
-            (StoreReply::Page(page), _) => StoreEvent::Page(page.items),
+            (StoreReply::Page(page), _) => StoreEvent::Page(page),
             (StoreReply::Changes(changes), position) => {
-                if let Self::Following(revision) = position {
-                    *revision = changes.revision.max(*revision);
+                if let Self::Following(stamp) = position {
+                    *stamp = changes.stamp.max(*stamp);
                 }
                 StoreEvent::Changes(changes)
             }
@@ -179,17 +186,29 @@
         let answer = match outcome {
             Ok(answer) => answer,
             Err(command) => {
+                if let StoreCommand::FollowFrom(stamp) = command {
+                    era = era.max(stamp.era);
+                }
                 position = StorePosition::after(command);
                 continue;
             }
         };
-        if answer.era != era {
-            era = answer.era;
-            if events.send(StoreEvent::EraChanged(era)).is_err() {
+        let mut result = answer.result;
+        if answer.era < era {
+            let error = anyhow::anyhow!("response of era {}, era {era} is known", answer.era);
+            result = Err(StoreFault::Failed(error));
+        } else if answer.era > era {
+            let before = std::mem::replace(&mut era, answer.era);
+            if events.send(StoreEvent::EraBegan { era, before }).is_err() {
                 return;
             }
+            // Only the first page of a read doesn't follow from what an earlier era said.
+            if !position.is_start() {
+                position = StorePosition::start();
+                result = result.and(Err(StoreFault::HistoryLost));
+            }
         }
-        let (event, pause) = match answer.result {
+        let (event, pause) = match result {
             Ok(reply) => {
                 backoff = INITIAL_BACKOFF;
                 let event = position.advance(reply);
@@ -203,7 +222,8 @@
             }
             Err(StoreFault::HistoryLost) => {
                 position = StorePosition::start();
-                (StoreEvent::HistoryLost, REREAD_DELAY)
+                let pause = REREAD_DELAY.mul_f64(rand::rng().random_range(1.0..3.0));
+                (StoreEvent::HistoryLost, pause)
             }
             Err(StoreFault::Failed(error)) => {
                 let pause = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -10,7 +10,8 @@
 use crate::dialect::LoadReport;
 use crate::fleet::member_table::{MemberRecord, MemberStage};
 use crate::fleet::store_role::StoreReport;
-use crate::fleet::store_view::{StoreChange, StoreItem, StoreRevision};
+use crate::fleet::store_stamp::StoreStamp;
+use crate::fleet::store_view::{StoreChange, StoreItem};
 use crate::ids::{DataCenterTag, IncarnationId, PartTag};
 use crate::mono::MonoTime;
 use crate::policy::latest_loads::{MAX_HEARTBEAT_REPORTS, UpstreamLoad, UpstreamTag};
@@ -133,6 +134,9 @@
 /// one more load.
 const LOADS_PER_RATE_REPORT: usize = 1;
 
+/// Number of loads that take as many bytes as the era of the store, which most stores don't have.
+const LOADS_PER_ERA: usize = 1;
+
 /// Unit of the ages of reports about prompt parts and rate limits, in milliseconds.
 const REPORT_AGE_MS: u64 = 10;
 
@@ -279,6 +283,9 @@
     /// Rate limits of upstreams. They take the place of loads.
     #[prost(message, optional, tag = "7")]
     pub rates: Option<RateColumns>,
+    /// Era of `store_revision`; zero in frames of earlier versions. It takes the place of a load.
+    #[prost(uint64, tag = "8")]
+    pub store_era: u64,
 }
 
 impl HeartbeatFrame {
@@ -291,7 +298,7 @@
         rates: &[RateReport],
         now: MonoTime,
     ) {
-        let mut displaced = 0;
+        let mut displaced = if self.store_era > 0 { LOADS_PER_ERA } else { 0 };
         if !parts.is_empty() {
             displaced += 1 + LOADS_PER_PART_REPORT * parts.len();
             self.parts = Some(PartColumns::new(parts, part_time(now)));
@@ -304,10 +311,15 @@
         self.loads = Some(LoadColumns::new(&loads, now));
     }
 
-    /// The sender's report of the store's newest revision, if it has one.
+    /// State of the store up to which the sender has all changes.
+    pub fn store_stamp(&self) -> StoreStamp {
+        StoreStamp::new(self.store_era, self.store_revision)
+    }
+
+    /// The sender's report of the store's newest state, if it has one.
     pub fn store_report(&self) -> Option<StoreReport> {
         self.store_age_ms.map(|age_ms| StoreReport {
-            revision: StoreRevision(self.store_revision),
+            stamp: self.store_stamp(),
             age: Duration::from_millis(age_ms),
         })
     }
@@ -322,6 +334,16 @@
     /// Revision of the store up to which the requesting router has all changes.
     #[prost(uint64, tag = "2")]
     pub store_revision: u64,
+    /// Era of `store_revision`; zero in frames of earlier versions.
+    #[prost(uint64, tag = "3")]
+    pub store_era: u64,
+}
+
+impl DocumentRequest {
+    /// State of the store up to which the requesting router has all changes.
+    pub fn store_stamp(&self) -> StoreStamp {
+        StoreStamp::new(self.store_era, self.store_revision)
+    }
 }
 
 /// A written document or the removal of one.
@@ -339,6 +361,13 @@
     /// Milliseconds for which a removed entry stays in use.
     #[prost(uint32, tag = "4")]
     pub hold_ms: u32,
+    /// Era of `revision`; zero in frames of earlier versions.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
+    /// Milliseconds for which a listed entry is not used, because the sender knew it removed before
+    /// the store was restored.
+    #[prost(uint32, tag = "6")]
+    pub withheld_ms: u32,
 }
 
 /// The response to a [`DocumentRequest`].
@@ -353,26 +382,50 @@
     /// Whether the documents are all that the sender has, not only those that changed.
     #[prost(bool, tag = "3")]
     pub full: bool,
+    /// Era of `store_revision`; zero in frames of earlier versions.
+    #[prost(uint64, tag = "4")]
+    pub store_era: u64,
+    /// Revision up to which documents may be older than the era.
+    #[prost(uint64, tag = "5")]
+    pub base_revision: u64,
+}
+
+impl DocumentResponse {
+    /// State of the store up to which the changes are complete.
+    pub fn store_stamp(&self) -> StoreStamp {
+        StoreStamp::new(self.store_era, self.store_revision)
+    }
+
+    /// State up to which documents may be older than the era.
+    pub fn base(&self) -> StoreStamp {
+        StoreStamp::new(self.store_era, self.base_revision)
+    }
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
 
 impl From<StoreChange> for DocumentFrame {
     fn from(change: StoreChange) -> Self {
+        let written = |item: StoreItem, withheld: Duration| Self {
+            key: item.key,
+            revision: item.stamp.revision.0,
+            value: Some(item.value),
+            hold_ms: 0,
+            era: item.stamp.era.0,
+            withheld_ms: millis(withheld),
+        };
         match change {
-            StoreChange::Written(item) => Self {
-                key: item.key,
-                revision: item.revision.0,
-                value: Some(item.value),
-                hold_ms: 0,
-            },
-            StoreChange::Removed {
-                key,
-                revision,
-                grace,
-            } => Self {
+            StoreChange::Written(item) => written(item, Duration::ZERO),
+            StoreChange::Withheld { item, span } => written(item, span),
+            StoreChange::Removed { key, stamp, grace } => Self {
                 key,
-                revision: revision.0,
+                revision: stamp.revision.0,
                 value: None,
-                hold_ms: u32::try_from(grace.as_millis()).unwrap_or(u32::MAX),
+                hold_ms: millis(grace),
+                era: stamp.era.0,
+                withheld_ms: 0,
             },
         }
     }
@@ -380,17 +433,24 @@
 
 impl From<DocumentFrame> for StoreChange {
     fn from(frame: DocumentFrame) -> Self {
-        let revision = StoreRevision(frame.revision);
-        match frame.value {
-            Some(value) => Self::Written(StoreItem {
-                key: frame.key,
-                value,
-                revision,
-            }),
-            None => Self::Removed {
+        let stamp = StoreStamp::new(frame.era, frame.revision);
+        let Some(value) = frame.value else {
+            return Self::Removed {
                 key: frame.key,
-                revision,
+                stamp,
                 grace: Duration::from_millis(frame.hold_ms.into()),
+            };
+        };
+        let item = StoreItem {
+            key: frame.key,
+            value,
+            stamp,
+        };
+        match frame.withheld_ms {
+            0 => Self::Written(item),
+            withheld_ms => Self::Withheld {
+                item,
+                span: Duration::from_millis(withheld_ms.into()),
             },
         }
     }
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -33,7 +33,7 @@
     pub lines_left_out: IntCounter,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
-    /// Number of times that the store was restored from an older copy, as it last said.
+    /// Era of the store that is known to this router.
     pub store_era: IntGauge,
     /// Revision of the store up to which all changes are known to this router.
     pub store_revision: IntGauge,
@@ -43,6 +43,8 @@
     pub store_reader: IntGauge,
     /// Number of known upstreams.
     pub upstreams: IntGauge,
+    /// Number of upstreams that a restored store lists though they were removed before.
+    pub upstreams_withheld: IntGauge,
     /// Number of upstreams that limit the rate of requests.
     pub upstreams_limited: IntGauge,
     /// Number of routers that are up.
@@ -123,6 +125,10 @@
             )?,
             store_reader: gauge("store_reader", "Whether this router reads the store itself")?,
             upstreams: gauge("upstreams", "Known upstreams")?,
+            upstreams_withheld: gauge(
+                "upstreams_withheld",
+                "Upstreams that a restored store lists though they were removed before",
+            )?,
             upstreams_limited: gauge(
                 "upstreams_limited",
                 "Upstreams that limit the rate of requests",
--- a/src/store_source.rs
+++ b/src/store_source.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
-use crate::fleet::store_stamp::StoreEra;
-use crate::fleet::store_view::{StoreChange, StoreItem, StoreRevision};
+use crate::fleet::store_stamp::{StoreEra, StoreStamp};
+use crate::fleet::store_view::{StoreChange, StoreItem};
 
 /// Why a request to the store failed.
 #[derive(Debug)]
@@ -46,21 +46,21 @@
     }
 }
 
-/// Changes after a revision of the store.
+/// Changes after a state of the store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreChanges {
     /// The changes, in the order of their revisions.
     pub changes: Vec<StoreChange>,
-    /// The revision up to which the changes are complete.
-    pub revision: StoreRevision,
+    /// The state of the store up to which the changes are complete.
+    pub stamp: StoreStamp,
 }
 
 /// A page of documents, in the order of their keys.
 #[derive(Clone, Debug, Default)]
 pub struct StorePage {
     pub items: Vec<StoreItem>,
-    /// Revision of the store when the page was read.
-    pub revision: StoreRevision,
+    /// State of the store when the page was read.
+    pub stamp: StoreStamp,
     /// Whether documents with larger keys follow.
     pub more: bool,
 }
@@ -74,12 +74,11 @@
         known: StoreEra,
     ) -> impl Future<Output = StoreAnswer<StorePage>>;
 
-    /// Waits for changes after a revision. Returns without changes if there are none within `wait`.
-    /// `known` is the last known era.
+    /// Waits for changes after a state. Returns without changes if there are none within `wait`. The
+    /// era of `after` is the last known one.
     fn watch(
         &mut self,
-        after: StoreRevision,
-        known: StoreEra,
+        after: StoreStamp,
         wait: Duration,
     ) -> impl Future<Output = StoreAnswer<StoreChanges>>;
 }
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -32,8 +32,19 @@
     Busy,
 }
 
+/// A copy of all items, from which a store can be restored.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    items: BTreeMap<String, (Vec<u8>, u64)>,
+}
+
 #[derive(Debug)]
 struct StoreState {
+    /// Number of restores.
+    era: u64,
+    /// Value of the header `Store-Era`; `None` if responses don't have it.
+    era_header: Option<String>,
     revision: u64,
     /// Content and revision by key.
     items: BTreeMap<String, (Vec<u8>, u64)>,
@@ -81,6 +92,8 @@
 impl Default for PlatformStore {
     fn default() -> Self {
         let state = StoreState {
+            era: 1,
+            era_header: None,
             revision: 1,
             items: BTreeMap::new(),
             history: Vec::new(),
@@ -133,6 +146,41 @@
         changed.notify_all();
     }
 
+    /// Copies all items.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy {
+            revision: state.revision,
+            items: state.items.clone(),
+        }
+    }
+
+    /// Replaces all items and the revision by those of a copy, and begins the next era.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        state.era += 1;
+        state.era_header = Some(state.era.to_string());
+        state.revision = copy.revision;
+        state.items.clone_from(&copy.items);
+        state.history.retain(|(at, ..)| *at <= copy.revision);
+        self.state.1.notify_all();
+    }
+
+    /// Adds the header `Store-Era` to all responses, with the number of the era.
+    pub fn name_era(&self) {
+        let mut state = self.lock();
+        state.era_header = Some(state.era.to_string());
+    }
+
+    /// Replaces the header `Store-Era` of all responses until the next restore, or omits it.
+    pub fn name_era_as(&self, value: Option<&str>) {
+        self.lock().era_header = value.map(str::to_owned);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn apply_change(&self, key: &str, value: Option<Vec<u8>>) {
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -183,8 +231,10 @@
                 }
             };
             let body = body.to_string();
+            let era = self.lock().era_header.clone();
+            let era = era.map_or(String::new(), |era| format!("Store-Era: {era}\r\n"));
             let text = format!(
-                "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n\
+                "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n{era}\
                  Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
@@ -235,6 +285,7 @@
         let state = state.lock().unwrap_or_else(PoisonError::into_inner);
         let unchanged = |state: &mut StoreState| {
             state.discarded <= after
+                && after <= state.revision
                 && !state
                     .history
                     .iter()
@@ -243,7 +294,7 @@
         let (state, _) = changed
             .wait_timeout_while(state, wait, unchanged)
             .unwrap_or_else(PoisonError::into_inner);
-        if state.discarded > after {
+        if state.discarded > after || after > state.revision {
             return (410, json!({}));
         }
         let events: Vec<Value> = state
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -241,6 +241,7 @@
             store_age_ms: Some(10_000),
             parts: None,
             rates: None,
+            store_era: 1 << 20,
         };
         let without_parts = {
             let mut frame = frame.clone();
--- a/tests/store_codec/mod.rs
+++ b/tests/store_codec/mod.rs
@@ -42,5 +42,6 @@
         slots: 1,
         state: ServingState::Ready,
         warm_up: Duration::ZERO,
+        start: None,
     })
 }
--- a/tests/store_view.rs
+++ b/tests/store_view.rs
@@ -6,14 +6,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hawthornrouter::fleet::store_view::{
-    StoreChange, StoreItem, StoreRevision, StoreSnapshot, StoreView,
-};
+use hawthornrouter::fleet::store_stamp::StoreStamp;
+use hawthornrouter::fleet::store_view::{StoreChange, StoreItem, StoreSnapshot, StoreView};
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::route::ConfigVersion;
 use proptest::prelude::*;
 use store_codec::TextCodec;
 
+/// A state of a store that was never restored.
+fn stamp(revision: u64) -> StoreStamp {
+    StoreStamp::new(0, revision)
+}
+
 fn written(key: &str, value: &str, revision: u64) -> StoreChange {
     StoreChange::Written(item(key, value, revision))
 }
@@ -22,14 +26,14 @@
     StoreItem {
         key: key.to_owned(),
         value: Bytes::copy_from_slice(value.as_bytes()),
-        revision: StoreRevision(revision),
+        stamp: stamp(revision),
     }
 }
 
 fn removed(key: &str, revision: u64) -> StoreChange {
     StoreChange::Removed {
         key: key.to_owned(),
-        revision: StoreRevision(revision),
+        stamp: stamp(revision),
         grace: Duration::ZERO,
     }
 }
@@ -63,12 +67,12 @@
                 history.push(removed(keys[*key], revision));
             }
         }
-        let last = StoreRevision(history.len() as u64);
+        let last = stamp(history.len() as u64);
         let mut view = StoreView::new(TextCodec);
         let mut version = ConfigVersion(0);
         for index in &order {
             let change = history[index.index(history.len())].clone();
-            view.merge_peer(vec![change], StoreRevision(0), NOW);
+            view.merge_peer(vec![change], stamp(0), NOW);
             prop_assert!(view.config_version() >= version, "the version must not decrease");
             version = view.config_version();
         }
@@ -80,7 +84,7 @@
             });
             last.expect("a present key was written")
         });
-        let snapshot = StoreSnapshot { revision: last, items: items.collect() };
+        let snapshot = StoreSnapshot { stamp: last, items: items.collect() };
         view.merge_snapshot(snapshot, NOW);
         let expected: Vec<String> = keys[..3]
             .iter()
@@ -89,10 +93,10 @@
             .map(|(_, name)| name.replace("up/", ""))
             .collect();
         prop_assert_eq!(upstream_ids(&view), expected);
-        prop_assert_eq!(view.revision(), last);
+        prop_assert_eq!(view.stamp(), last);
         // A peer with an empty view reaches the same state from this router's changes.
         let mut peer = StoreView::new(TextCodec);
-        peer.merge_peer(view.changes_since(StoreRevision(0), NOW), view.revision(), NOW);
+        peer.merge_peer(view.changes_since(stamp(0), NOW), view.stamp(), NOW);
         prop_assert_eq!(upstream_ids(&peer), upstream_ids(&view));
     }
 }
@@ -158,11 +162,7 @@
     first.store_failed(NOW);
     first.merge_change(removed("up/a", 2), NOW);
     let later = NOW + Duration::from_millis(500);
-    second.merge_peer(
-        first.changes_since(StoreRevision(1), later),
-        StoreRevision(2),
-        later,
-    );
+    second.merge_peer(first.changes_since(stamp(1), later), stamp(2), later);
     assert_eq!(upstream_ids(&second), ["a"], "the peer retains it as long");
     second.tick(NOW + Duration::from_millis(2001));
     assert!(upstream_ids(&second).is_empty());
@@ -177,17 +177,17 @@
     for view in [&mut peer, &mut late] {
         view.merge_changes(
             vec![written("up/a", "", 1), written("up/b", "", 2)],
-            StoreRevision(2),
+            stamp(2),
             NOW,
         );
     }
-    peer.merge_changes(vec![removed("up/a", 3)], StoreRevision(3), NOW);
-    assert!(peer.has_changes_since(late.revision()));
+    peer.merge_changes(vec![removed("up/a", 3)], stamp(3), NOW);
+    assert!(peer.has_changes_since(late.stamp()));
     let later = NOW + Duration::from_mins(2);
     peer.tick(later);
-    assert!(!peer.has_changes_since(late.revision()));
-    let all = peer.changes_since(StoreRevision(0), later);
-    late.merge_peer_snapshot(all, peer.revision(), later);
+    assert!(!peer.has_changes_since(late.stamp()));
+    let all = peer.changes_since(stamp(0), later);
+    late.merge_peer_snapshot(all, peer.stamp(), peer.stamp(), later);
     assert_eq!(upstream_ids(&late), ["b"]);
 }
 
@@ -196,20 +196,16 @@
 #[test]
 fn unseen_entry_is_removed() {
     let mut late = StoreView::new(TextCodec);
-    late.merge_changes(vec![written("up/a", "", 1)], StoreRevision(1), NOW);
+    late.merge_changes(vec![written("up/a", "", 1)], stamp(1), NOW);
     let mut reader = StoreView::new(TextCodec);
     let snapshot = StoreSnapshot {
-        revision: StoreRevision(5),
+        stamp: stamp(5),
         items: vec![item("up/b", "", 4)],
     };
     reader.merge_snapshot(snapshot, NOW);
-    assert!(!reader.has_changes_since(late.revision()));
+    assert!(!reader.has_changes_since(late.stamp()));
     let mut told = StoreView::new(TextCodec);
-    told.merge_peer(vec![removed("up/a", 3)], StoreRevision(5), NOW);
-    late.merge_peer(
-        told.changes_since(late.revision(), NOW),
-        told.revision(),
-        NOW,
-    );
+    told.merge_peer(vec![removed("up/a", 3)], stamp(5), NOW);
+    late.merge_peer(told.changes_since(late.stamp(), NOW), told.stamp(), NOW);
     assert!(upstream_ids(&late).is_empty());
 }
