Play restores of the store under whole fleets, on virtual time

Each step checks that no router goes back: configuration, left and draining upstreams, upstreams that live.

--- a/tests/store_codec/mod.rs
+++ b/tests/store_codec/mod.rs
@@ -1,5 +1,6 @@
 //! Documents of a store in tests: a configuration is the text of its version, and a key `up/ID` is
-//! the entry of upstream `ID`.
+//! the entry of upstream `ID`, which drains if its text is `draining`. A number after a `@` is the
+//! start of the upstream.
 
 use std::time::Duration;
 
@@ -27,21 +28,26 @@
         Ok(TableBuilder::new(ConfigVersion(version), limits).build())
     }
 
-    fn decode_entry(&self, key: &str, _: &Bytes) -> Option<anyhow::Result<UpstreamEntry>> {
+    fn decode_entry(&self, key: &str, value: &Bytes) -> Option<anyhow::Result<UpstreamEntry>> {
         let id = key.strip_prefix("up/")?;
-        Some(entry(id))
+        Some(entry(id, value))
     }
 }
 
-fn entry(id: &str) -> anyhow::Result<UpstreamEntry> {
+fn entry(id: &str, value: &Bytes) -> anyhow::Result<UpstreamEntry> {
+    let text = std::str::from_utf8(value)?;
+    let (state, start) = text.split_once('@').unwrap_or((text, ""));
     Ok(UpstreamEntry {
         id: id.parse()?,
         service: "app".parse()?,
         address: "127.0.0.1:1".parse()?,
         data_center: "a".parse()?,
         slots: 1,
-        state: ServingState::Ready,
+        state: match state {
+            "draining" => ServingState::Draining,
+            _ => ServingState::Ready,
+        },
         warm_up: Duration::ZERO,
-        start: None,
+        start: start.parse().ok(),
     })
 }
--- a/tests/store_fleet/mod.rs
+++ b/tests/store_fleet/mod.rs
@@ -41,8 +41,6 @@
     pub revision: u64,
     pub oldest: u64,
     pub calls: u64,
-    /// Number of whole reads.
-    pub reads: u64,
     /// Whether it answers nobody.
     pub down: bool,
 }
@@ -133,6 +131,8 @@
     fetch: Option<Ipv4Addr>,
     pub paused: bool,
     pub cut_from_store: bool,
+    /// Number of its whole reads of the store.
+    pub reads: u64,
 }
 
 impl Router {
@@ -242,6 +242,7 @@
             fetch: None,
             paused: false,
             cut_from_store: false,
+            reads: 0,
         };
         self.routers.insert(own.address, router);
         own.address
@@ -303,7 +304,7 @@
             }
             Follow::Read(_) if reachable => {
                 self.store.calls += 1;
-                self.store.reads += 1;
+                router.reads += 1;
                 router.era = StoreEra(self.store.era);
                 router.view.store_responded(now);
                 router.view.merge_snapshot(self.store.snapshot(), now);
