Don't write a call to a connection with unread bytes

Callers saw 502 for a call that a new connection would have served, or could have got a response that was written before their call was: an upstream sent more bytes after a complete response, the connection was kept, and the next call was written to it.

Cause: the HTTP library checks an idle connection for unexpected bytes only when the runtime reports that it is readable. Bytes that arrived since the last turn of the reactor are not reported yet, so the request is written, and the bytes are read as its response.

The socket now looks for unread bytes, a close or an error right before the first byte of a request is written, and fails the write instead. No byte was written then, so the call is known not to have run and is sent on another connection, also if it may not be repeated.

tests/kept_connection.rs lets the server act while the runtime can't notice. Before the change, all 57 bytes of the second request reached the server: an extra response was taken as its response, and after a close the call counted as broken (may have run). Now no byte is written.

--- a/src/forward/http_connection.rs
+++ b/src/forward/http_connection.rs
@@ -2,9 +2,11 @@
 //!
 //! The HTTP library implements the protocol. The connection counts the bytes written to its socket:
 //! a call is known not to have run only if none of its bytes were written, and a connection can be
-//! reused only if the call was written completely.
+//! reused only if the call was written completely. A call is not written to a connection with
+//! unread bytes: they belong to no call, and would be read as the response to this one.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -43,6 +45,8 @@
 #[derive(Debug, Default)]
 struct SocketProgress {
     written: AtomicUsize,
+    /// Bytes written before the current request.
+    written_before: AtomicUsize,
     flushed: AtomicBool,
     /// Bytes read since the latest request, response head or part of a body.
     unparsed: AtomicUsize,
@@ -58,8 +62,27 @@
         self.unparsed.fetch_add(bytes, Ordering::Relaxed) + bytes <= MAX_UNPARSED_BYTES
     }
 
-    fn written(&self) -> usize {
-        self.written.load(Ordering::Relaxed)
+    /// Marks the start of a request.
+    fn start_request(&self) {
+        let written = self.written.load(Ordering::Relaxed);
+        self.written_before.store(written, Ordering::Relaxed);
+        self.reset_unparsed();
+    }
+
+    /// Returns the number of bytes of the current request that were written.
+    fn request_bytes(&self) -> usize {
+        self.written.load(Ordering::Relaxed) - self.written_before.load(Ordering::Relaxed)
+    }
+}
+
+/// Fails if the peer sent bytes that were not read, or closed the connection.
+fn check_quiet(socket: &TcpStream) -> io::Result<()> {
+    let fault = |text| Err(io::Error::new(io::ErrorKind::InvalidData, text));
+    match SockRef::from(socket).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(0) => fault("closed before the request"),
+        Ok(_) => fault("unexpected bytes before the request"),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+        Err(error) => Err(error),
     }
 }
 
@@ -91,6 +114,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        // The runtime may not have reported these bytes yet, so the library can't know of them.
+        if self.progress.request_bytes() == 0 {
+            check_quiet(&self.socket)?;
+        }
         let result = Pin::new(&mut self.socket).poll_write(cx, buf);
         self.progress.flushed.store(false, Ordering::Relaxed);
         if let Poll::Ready(Ok(count)) = result {
@@ -134,8 +161,6 @@
     progress: Arc<SocketProgress>,
     /// Lower bound of the length of the current request, in bytes: path and body.
     min_request_bytes: usize,
-    /// Bytes written on this connection before the current request.
-    written_before: usize,
     _task: TaskGuard,
 }
 
@@ -181,7 +206,6 @@
             sender,
             progress,
             min_request_bytes: 0,
-            written_before: 0,
             _task: task,
         })
     }
@@ -198,9 +222,8 @@
         request: Request<Full<Bytes>>,
         body_bytes: usize,
     ) -> Result<Response<Incoming>, AttemptFault> {
-        self.written_before = self.progress.written();
         self.min_request_bytes = body_bytes + request.uri().path().len();
-        self.progress.reset_unparsed();
+        self.progress.start_request();
         let result = self.sender.try_send_request(request).await;
         self.progress.reset_unparsed();
         match result {
@@ -208,7 +231,7 @@
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let error = error.into_error();
-                if unsent || self.progress.written() == self.written_before {
+                if unsent || !self.has_written() {
                     Err(AttemptFault::Unsent)
                 } else if error.is_parse() {
                     Err(AttemptFault::BadAnswer)
@@ -226,12 +249,12 @@
 
     /// Returns whether any byte of the current request was written.
     pub fn has_written(&self) -> bool {
-        self.progress.written() > self.written_before
+        self.progress.request_bytes() > 0
     }
 
     /// Returns whether the current request was written completely.
     pub fn has_written_all(&self) -> bool {
         self.progress.flushed.load(Ordering::Relaxed)
-            && self.progress.written() - self.written_before > self.min_request_bytes
+            && self.progress.request_bytes() > self.min_request_bytes
     }
 }
--- a/standins/src/scripted_engine.rs
+++ b/standins/src/scripted_engine.rs
@@ -107,6 +107,8 @@
     /// Number of requests whose caller closed the connection during [`ScriptStep::AwaitClose`] or
     /// [`ScriptStep::Repeat`].
     closed_by_caller: usize,
+    /// Number of requests for which [`ScriptStep::Repeat`] has sent its bytes at least once.
+    repeating: usize,
 }
 
 /// A running engine. Its threads run until the process exits.
@@ -174,6 +176,12 @@
         self.await_record(|record| record.closed_by_caller >= count);
     }
 
+    /// Waits until [`ScriptStep::Repeat`] has sent its bytes for `count` requests; panics after
+    /// [`HANG_TIMEOUT`].
+    pub fn await_repeating(&self, count: usize) {
+        self.await_record(|record| record.repeating >= count);
+    }
+
     fn keep(&self, connection: Option<usize>, socket: &Socket) {
         let socket = socket.try_clone().expect("a descriptor is free");
         let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
@@ -240,8 +248,13 @@
                         true
                     }
                     ScriptStep::Repeat(bytes, pause) => {
-                        while socket.write_all(&bytes).is_ok() {
+                        let sent = socket.write_all(&bytes);
+                        self.with_record(|record| record.repeating += 1);
+                        if sent.is_ok() {
                             thread::sleep(pause);
+                            while socket.write_all(&bytes).is_ok() {
+                                thread::sleep(pause);
+                            }
                         }
                         self.with_record(|record| record.closed_by_caller += 1);
                         false
