Take a refusal as proof only if it belongs to the call

Cause: check_response_head took any 421 as proof before it looked at the id, and any X-Not-Executed as proof if the id was missing. On a kept connection such a response may be a late one to another call. Failures without an id (400, 404, 500) went to the caller whichever call they belonged to (MIXED).

A response now counts only if it repeats the id of the call, or has no id and the call is the only one that was sent on the connection. Anything else is a malformed response: the call may have run, and the connection is closed. A repeat can't meet the refusal of an earlier attempt: a call that may not be repeated goes on only after proof, never to the upstream that gave it, and every failed attempt closes its connection.

Cost: calls whose refusals have no id are not sent again from kept connections, unless they may be repeated.

--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -22,7 +22,7 @@
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::AttemptFault;
 use crate::policy::response_head_check::{
-    BodyKind, ExpectedBody, ResponseHeadSummary, check_response_head,
+    BodyKind, ExpectedBody, ResponseHeadSummary, ResponseOrigin, check_response_head,
 };
 
 /// Timeout of a connection attempt. A running VM accepts within a round trip plus the wait in its
@@ -82,15 +82,16 @@
             .dialect
             .read_response_head(response.status(), response.headers());
         let repeatable = self.attempts.may_repeat() && self.state.affordable(&self.service);
+        let id_matches = head
+            .request_id
+            .as_ref()
+            .map(|id| *id == self.plan.head.request_id);
         let summary = ResponseHeadSummary {
             status: response.status().as_u16(),
             encoded: response.headers().contains_key(CONTENT_ENCODING),
             not_executed: head.not_executed,
             stamped: head.stamped,
-            id_matches: head
-                .request_id
-                .as_ref()
-                .map(|id| *id == self.plan.head.request_id),
+            origin: ResponseOrigin::new(id_matches, connection.is_first_call()),
             body: body_kind(response.headers()),
             expected: if self.first_event.is_some() {
                 ExpectedBody::MoreEvents
--- a/src/forward/http_connection.rs
+++ b/src/forward/http_connection.rs
@@ -242,6 +242,11 @@
         }
     }
 
+    /// Returns whether the current call is the first on this connection.
+    pub fn is_first_call(&self) -> bool {
+        self.progress.written_before.load(Ordering::Relaxed) == 0
+    }
+
     /// Records that a part of the response's body arrived.
     pub fn record_body(&self) {
         self.progress.reset_unparsed();
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -1,8 +1,9 @@
 //! The attempts to run one call at upstreams, and the rules for retrying it.
 //!
 //! An attempt passes through `queued → connecting → written → responding → ended`. A failed
-//! attempt proves that the call did not run only if it wrote no byte, if the upstream reported that
-//! it did not execute the call, or if another upstream has taken over the address.
+//! attempt proves that the call did not run only if it wrote no byte, or if the upstream reported, in
+//! a response that can only belong to this call, that it did not execute the call or that it is not
+//! the expected upstream.
 
 use std::time::Duration;
 
--- a/src/policy/response_head_check.rs
+++ b/src/policy/response_head_check.rs
@@ -28,6 +28,30 @@
     MoreEvents,
 }
 
+/// What shows that a response belongs to the call that was sent last on its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ResponseOrigin {
+    /// The response repeats the id of the call.
+    SameId,
+    /// The response has no id, and no other call was sent on the connection.
+    OnlyCall,
+    /// Nothing: the response has the id of another call, or it has none and may be a late one to an
+    /// earlier call on the connection.
+    Unproven,
+}
+
+impl ResponseOrigin {
+    /// `id_matches` tells whether the id in the response is that of the call, `None` if there is no
+    /// id; `is_first_call` whether the call is the first on the connection.
+    pub fn new(id_matches: Option<bool>, is_first_call: bool) -> Self {
+        match id_matches {
+            Some(true) => Self::SameId,
+            None if is_first_call => Self::OnlyCall,
+            _ => Self::Unproven,
+        }
+    }
+}
+
 /// The properties of a response head that [`check_response_head`] examines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ResponseHeadSummary {
@@ -39,8 +63,8 @@
     pub not_executed: bool,
     /// Whether the response carries the upstream's stamp, which confirms that the upstream sent it.
     pub stamped: bool,
-    /// Whether the request id in the response is that of this request; `None` if there is no id.
-    pub id_matches: Option<bool>,
+    /// Whether the response belongs to this call.
+    pub origin: ResponseOrigin,
     /// The kind of body, as far as the head says.
     pub body: BodyKind,
     /// The kind of body that can go to the caller.
@@ -51,7 +75,7 @@
     /// Returns whether the response is this upstream's response to this request, so that what it
     /// says about the upstream holds now. A late one may be older than what is known.
     pub fn is_current(self) -> bool {
-        self.status != MISDIRECTED_REQUEST && self.id_matches != Some(false)
+        self.status != MISDIRECTED_REQUEST && self.origin != ResponseOrigin::Unproven
     }
 }
 
@@ -59,12 +83,13 @@
 ///
 /// `can_retry` tells whether another upstream may run the call instead.
 pub fn check_response_head(head: ResponseHeadSummary, can_retry: bool) -> Result<(), AttemptFault> {
+    // Also a refusal proves nothing about a call that it doesn't belong to.
+    if head.origin == ResponseOrigin::Unproven {
+        return Err(AttemptFault::BadAnswer);
+    }
     if head.status == MISDIRECTED_REQUEST {
         return Err(AttemptFault::WrongInstance);
     }
-    if head.id_matches == Some(false) {
-        return Err(AttemptFault::BadAnswer);
-    }
     if head.not_executed {
         return Err(AttemptFault::NotExecuted);
     }
@@ -81,7 +106,7 @@
         }
     }
     if is_success {
-        let complete = head.id_matches.is_some() && head.stamped;
+        let complete = head.origin == ResponseOrigin::SameId && head.stamped;
         return if complete {
             Ok(())
         } else {
