Don't pass a 101 of an upstream to the caller

A caller whose upstream responded with 101 got that status and then hung until its connection ended: the HTTP library returns 101 as a response, unlike other statuses below 200, and the head check let it through. The router never asks for another protocol, so 101 is a malformed response.

upstream_responses protocol_switch failed before: the caller waited 17 s and its connection ended before the last chunk. length_and_chunks and two_lengths passed at once: the HTTP library takes the chunks and drops the length, and rejects two different lengths.

--- a/src/policy/response_head_check.rs
+++ b/src/policy/response_head_check.rs
@@ -6,6 +6,10 @@
 /// Misdirected Request: another upstream has taken over the address.
 const MISDIRECTED_REQUEST: u16 = 421;
 
+/// Switching Protocols, which the router never requests. The HTTP library skips other statuses
+/// below 200.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Statuses that suggest that the call did not run. Only the upstream's explicit "not executed"
 /// mark proves it.
 const UNPROVEN_REFUSALS: [u16; 3] = [408, 429, 503];
@@ -84,7 +88,7 @@
 /// `can_retry` tells whether another upstream may run the call instead.
 pub fn check_response_head(head: ResponseHeadSummary, can_retry: bool) -> Result<(), AttemptFault> {
     // Also a refusal proves nothing about a call that it doesn't belong to.
-    if head.origin == ResponseOrigin::Unproven {
+    if head.origin == ResponseOrigin::Unproven || head.status == SWITCHING_PROTOCOLS {
         return Err(AttemptFault::BadAnswer);
     }
     if head.status == MISDIRECTED_REQUEST {
