Keep unrepeatable calls off connections with late responses

At an engine that keeps sending late responses, callers got 502 for every second call that may not be repeated: each was sent on the connection that the call before it had left, and met a response to another call there.

After a response that belongs to another call, calls that may not be repeated use only new connections to that upstream for 10 s. Repeatable calls go on using kept connections, since they are sent again.

late_answers one_call_lost failed before: 6 of 12 calls got 502; now one does.

--- a/src/forward/connection_pool.rs
+++ b/src/forward/connection_pool.rs
@@ -21,6 +21,10 @@
 
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
+/// Time after a response to another call in which calls that must not be repeated use only new
+/// connections to the upstream: such a call is lost if it meets another late response.
+const DISTRUST_PERIOD: Duration = Duration::from_secs(10);
+
 struct IdleConnection {
     connection: HttpConnection,
     idle_since: MonoTime,
@@ -32,7 +36,8 @@
 pub enum ReuseCondition {
     /// Any connection: the call can be repeated if the connection turns out to be dead.
     Any,
-    /// Only a recently used connection: the call can't be repeated.
+    /// Only a recently used connection to an upstream that is not distrusted: the call can't be
+    /// repeated.
     RecentlyUsed,
 }
 
@@ -40,6 +45,9 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: HashMap<UpstreamKey, Vec<IdleConnection>>,
+    /// Upstreams that sent a response to another call, and the time until which only repeatable
+    /// calls use their idle connections.
+    distrusted: HashMap<UpstreamKey, MonoTime>,
 }
 
 impl ConnectionPool {
@@ -51,6 +59,10 @@
         condition: ReuseCondition,
         now: MonoTime,
     ) -> Option<HttpConnection> {
+        let distrusted = self.distrusted.get(&upstream);
+        if condition == ReuseCondition::RecentlyUsed && distrusted.is_some_and(|&end| now < end) {
+            return None;
+        }
         let connections = self.idle.get_mut(&upstream)?;
         connections
             .retain(|idle| idle.connection.usable() && now.since(idle.idle_since) <= idle.timeout);
@@ -86,6 +98,11 @@
         });
     }
 
+    /// Records that an upstream sent a response to another call.
+    pub fn distrust(&mut self, upstream: UpstreamKey, now: MonoTime) {
+        self.distrusted.insert(upstream, now + DISTRUST_PERIOD);
+    }
+
     /// Closes all idle connections to an upstream.
     pub fn close(&mut self, upstream: UpstreamKey) {
         self.idle.remove(&upstream);
@@ -93,6 +110,7 @@
 
     /// Closes connections that the upstream closed or whose idle timeout has expired.
     pub fn sweep(&mut self, now: MonoTime) {
+        self.distrusted.retain(|_, &mut end| now < end);
         self.idle.retain(|_, connections| {
             connections.retain(|idle| {
                 idle.connection.usable() && now.since(idle.idle_since) <= idle.timeout
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -102,6 +102,10 @@
         if summary.is_current() {
             self.state.record_response_head(&guard.entry, &head);
         }
+        if summary.origin == ResponseOrigin::Unproven {
+            let now = self.state.now();
+            self.state.pool.borrow_mut().distrust(guard.key, now);
+        }
         check_response_head(summary, repeatable)?;
         let reuse = ConnectionReuse::from_response(&response, connection.has_written_all());
         let (parts, body) = response.into_parts();
