Reject response heads that are spliced from two

A caller could get the 500 of an engine as a 200 (MIXED), and a call that may not be repeated could run at a second engine (TWICE), if the engine wrote the start of a late response and then the real one: the second status line ends up in the reason phrase or in a header's value, and the id is that of the call. "HTTP/1.1 200 O" before a complete 500 gave status 200; a 503 cut after "X-Not-Executed: 1" before it gave proof of "not run".

A head that holds a second status line there belongs to no call. At other places (within the status code, in a header's name, at a line's end) the HTTP library rejects it.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -15,6 +15,7 @@
 pub mod http_connection;
 mod relay_body;
 pub mod relay_progress;
+mod spliced_head;
 pub mod traffic_state;
 mod upstream_response;
 mod wait_limits;
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -13,6 +13,7 @@
 use crate::forward::connection_pool::ReuseCondition;
 use crate::forward::event_batch::EventBatch;
 use crate::forward::http_connection::HttpConnection;
+use crate::forward::spliced_head::is_spliced;
 use crate::forward::traffic_state::UpstreamGuard;
 use crate::forward::upstream_response::{
     ConnectionReuse, FullResponse, OpenStream, UpstreamResponse,
@@ -86,12 +87,17 @@
             .request_id
             .as_ref()
             .map(|id| *id == self.plan.head.request_id);
+        let origin = if is_spliced(&response) {
+            ResponseOrigin::Unproven
+        } else {
+            ResponseOrigin::new(id_matches, connection.is_first_call())
+        };
         let summary = ResponseHeadSummary {
             status: response.status().as_u16(),
             encoded: response.headers().contains_key(CONTENT_ENCODING),
             not_executed: head.not_executed,
             stamped: head.stamped,
-            origin: ResponseOrigin::new(id_matches, connection.is_first_call()),
+            origin,
             body: body_kind(response.headers()),
             expected: if self.first_event.is_some() {
                 ExpectedBody::MoreEvents
--- a/src/policy/response_head_check.rs
+++ b/src/policy/response_head_check.rs
@@ -39,8 +39,8 @@
     SameId,
     /// The response has no id, and no other call was sent on the connection.
     OnlyCall,
-    /// Nothing: the response has the id of another call, or it has none and may be a late one to an
-    /// earlier call on the connection.
+    /// Nothing: the response has the id of another call, its head is spliced from two, or it has no
+    /// id and may be a late one to an earlier call on the connection.
     Unproven,
 }
 
