Read responses of more than 1 MiB

What was seen: after 100 rewrites of an entry of 256 KB, a router wrote store-lost with "response body: error reading a body from connection" and never regained the store. A page or watch of more than 1 MiB can't be read, and neither can a stream of an engine on the project's own interface, which is resumed at an engine instead.

Cause: a connection fails after 1 MiB without a response head or a part of a body. Only the platform's calls report the parts of bodies.

Change: the client reports each part of a body that it reads, and a stream of an engine each event.

--- a/src/client.rs
+++ b/src/client.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -165,6 +165,8 @@
 
 impl std::error::Error for ClientError {}
 
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// Idle connections for reuse, at most one per address.
 type IdleConnections = Arc<Mutex<HashMap<SocketAddr, HttpConnection>>>;
 
@@ -263,11 +265,22 @@
 
     /// Reads the complete body.
     pub async fn bytes(self) -> Result<Bytes, ClientError> {
-        let body = Limited::new(self.response.into_body(), self.body_bytes).collect();
-        let body = timeout_at(self.deadline, body)
+        let mut body = Limited::new(self.response.into_body(), self.body_bytes);
+        let connection = &self.connection;
+        let read = async {
+            let mut bytes = BytesMut::new();
+            while let Some(frame) = body.frame().await {
+                connection.record_body();
+                if let Ok(data) = frame?.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+            }
+            Ok(bytes.freeze())
+        };
+        let bytes = timeout_at(self.deadline, read)
             .await
             .map_err(|_| ClientError::TimedOut)?
-            .map_err(|error| ClientError::Body(error.to_string()))?;
+            .map_err(|error: BoxError| ClientError::Body(error.to_string()))?;
         if let Some((idle, address)) = self.return_to {
             let mut connections = lock(&idle);
             if connections.len() >= MAX_IDLE_CONNECTIONS {
@@ -275,7 +288,7 @@
             }
             connections.insert(address, self.connection);
         }
-        Ok(body.to_bytes())
+        Ok(bytes)
     }
 
     /// Reads the complete body and parses it as JSON.
--- a/src/upstream/engine_stream.rs
+++ b/src/upstream/engine_stream.rs
@@ -77,7 +77,7 @@
     events: EventStream<BodyDataStream<Incoming>>,
     peer: SocketAddr,
     /// The connection that carries the events, closed when the stream is dropped.
-    _link: HttpConnection,
+    link: HttpConnection,
 }
 
 impl EngineStream {
@@ -111,7 +111,7 @@
             return Ok(Self {
                 events: events.eventsource(),
                 peer: address,
-                _link: link,
+                link,
             });
         }
         let error = RouterError::step_text(StepName::FirstEvent, address, status.as_str());
@@ -129,6 +129,7 @@
         let read = tokio::time::timeout(timeout, self.events.next()).await;
         let event = read.map_err(|_| fault("timed out waiting for an event"))?;
         let event = event.ok_or_else(|| fault("stream ended without an end marker"))?;
+        self.link.record_body();
         event
             .map(|event| parse_event(&event))
             .map_err(|error| fault(&error.to_string()))
--- a/tests/complete_response.rs
+++ b/tests/complete_response.rs
@@ -52,6 +52,17 @@
     }
 }
 
+/// Guards against a stream that is cut because its bytes count as a response without progress.
+#[ntex::test]
+async fn long_stream() {
+    let fleet = TestFleet::start(plan("long_stream").engines(1)).await;
+    let request = ChatRequest::new("chat-1", 40).fault(json!({"pad": 64 << 10, "always": true}));
+    let response = fleet.caller().chat(fleet.entry(0), &request).await;
+    assert!(response.is_complete(40), "{} bytes", response.text.len());
+    let runs = fleet.engine_record(0).await;
+    assert_eq!(runs.len(), 1, "the stream was resumed");
+}
+
 #[ntex::test]
 async fn cut_before_first_event() {
     let fleet = TestFleet::start(plan("cut_before_first_event")).await;
