--- a/src/client.rs
+++ b/src/client.rs
@@ -12,7 +12,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
+use http_body_util::{BodyDataStream, BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -131,8 +131,10 @@
     Unreachable(std::io::Error),
     /// The connection failed, or the response was not valid HTTP.
     Failed(AttemptFault),
-    /// The response body was truncated, or is larger than allowed.
+    /// The response body was truncated.
     Body(String),
+    /// The response body is larger than allowed.
+    TooLarge,
     /// The response did not arrive within the time limit.
     TimedOut,
     /// The response body is not the expected JSON.
@@ -145,7 +147,7 @@
         match self {
             Self::Malformed(_) | Self::Unreachable(_) => true,
             Self::Failed(fault) => fault.verdict() == RunVerdict::NotRun,
-            Self::Body(_) | Self::TimedOut | Self::Json(_) => false,
+            Self::Body(_) | Self::TooLarge | Self::TimedOut | Self::Json(_) => false,
         }
     }
 }
@@ -157,6 +159,7 @@
             Self::Unreachable(error) => write!(f, "connect failed: {error}"),
             Self::Failed(fault) => f.write_str(fault.label()),
             Self::Body(text) => write!(f, "response body: {text}"),
+            Self::TooLarge => f.write_str("response body is too large"),
             Self::TimedOut => f.write_str("no response within the time limit"),
             Self::Json(error) => write!(f, "unexpected JSON in response: {error}"),
         }
@@ -280,7 +283,13 @@
         let bytes = timeout_at(self.deadline, read)
             .await
             .map_err(|_| ClientError::TimedOut)?
-            .map_err(|error: BoxError| ClientError::Body(error.to_string()))?;
+            .map_err(|error: BoxError| {
+                if error.is::<LengthLimitError>() {
+                    ClientError::TooLarge
+                } else {
+                    ClientError::Body(error.to_string())
+                }
+            })?;
         if let Some((idle, address)) = self.return_to {
             let mut connections = lock(&idle);
             if connections.len() >= MAX_IDLE_CONNECTIONS {
