Add running and queued calls in a wider type

What was seen: after a response with "X-Server-Load: 4294967295,4294967295,4294967295" the router ended and the caller got no answer. A heartbeat with such a load ends a peer in the same sum. These are builds with overflow checks; one without them wraps, which makes the upstream look idle (read in the code, not run).

Cause: the numbers were added as u32.

Change: LoadReport::calls adds them as u64.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -122,6 +122,13 @@
     pub waiting: u32,
 }
 
+impl LoadReport {
+    /// Returns the number of running and queued calls.
+    pub fn calls(self) -> u64 {
+        u64::from(self.running) + u64::from(self.waiting)
+    }
+}
+
 /// What an upstream's response says about a limit on the requests that it takes per second from all
 /// routers together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/src/policy/latest_loads.rs
+++ b/src/policy/latest_loads.rs
@@ -65,9 +65,8 @@
         self.reports
             .retain(|_, report| now.since(report.at) <= MAX_REPORT_AGE);
         let mut reports: Vec<UpstreamLoad> = self.reports.values().copied().collect();
-        let calls = |report: &UpstreamLoad| report.load.running + report.load.waiting;
         reports.sort_unstable_by(|left, right| {
-            let load = calls(right).cmp(&calls(left));
+            let load = right.load.calls().cmp(&left.load.calls());
             load.then_with(|| left.upstream.cmp(&right.upstream))
         });
         reports.truncate(MAX_HEARTBEAT_REPORTS);
--- a/src/policy/upstream_stats.rs
+++ b/src/policy/upstream_stats.rs
@@ -52,7 +52,7 @@
         let own_calls = f64::from(self.own_calls);
         match self.recent_report(now) {
             Some(report) => {
-                let reported = f64::from(report.load.running + report.load.waiting);
+                let reported = report.load.calls() as f64;
                 (reported + own_calls - f64::from(report.own_calls)).max(own_calls)
             }
             None => own_calls * routers as f64,
--- /dev/null
+++ b/tests/odd_frames.rs
@@ -0,0 +1,346 @@
+//! Guards against frames of peers, and numbers in them, that end a router or make it lose what sound
+//! peers and the store reported.
+
+mod store_codec;
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornrouter::dialect::LoadReport;
+use hawthornrouter::fleet::fetch_plan::{DocumentState, FetchContext, FetchPlan};
+use hawthornrouter::fleet::member_table::{MemberRecord, MemberStage, MemberTable};
+use hawthornrouter::fleet::store_role::StoreRole;
+use hawthornrouter::fleet::store_view::{StoreChange, StoreRevision, StoreView};
+use hawthornrouter::gossip::frames::{
+    DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame, LoadColumns, MemberColumns,
+    PartColumns, RateColumns,
+};
+use hawthornrouter::ids::{DataCenterTag, IncarnationId};
+use hawthornrouter::mono::MonoTime;
+use hawthornrouter::policy::latest_loads::{LatestLoads, UpstreamLoad, UpstreamTag};
+use hawthornrouter::policy::rate_limits::{FleetPlace, RateLimits};
+use hawthornrouter::policy::suspect_parts::{SuspectParts, part_time};
+use hawthornrouter::policy::upstream_stats::UpstreamStats;
+use hawthornrouter::route::ConfigVersion;
+use hawthornrouter::wire::PeerFrame;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use prost::Message;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use store_codec::TextCodec;
+
+const OWN: MemberRecord = MemberRecord {
+    address: Ipv4Addr::new(10, 0, 0, 1),
+    incarnation: IncarnationId(1),
+    stage: MemberStage::Serving,
+    data_center: DataCenterTag(1),
+};
+
+/// Settings of a property test. `ODD_SEED` and `ODD_CASES` replace the seed and the number of cases.
+fn seeded() -> Config {
+    let number = |name: &str, default: u64| {
+        let text = std::env::var(name).ok();
+        text.map_or(default, |text| text.parse().expect("a number"))
+    };
+    Config {
+        cases: number("ODD_CASES", 256) as u32,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(number("ODD_SEED", 11)),
+        ..Config::default()
+    }
+}
+
+/// Any number, often one of the least or the greatest.
+fn extreme_u32() -> impl Strategy<Value = u32> {
+    prop_oneof![
+        Just(0),
+        Just(1),
+        Just(u32::MAX - 1),
+        Just(u32::MAX),
+        any::<u32>()
+    ]
+}
+
+fn extreme_u64() -> impl Strategy<Value = u64> {
+    prop_oneof![
+        Just(0),
+        Just(1),
+        Just(u64::MAX - 1),
+        Just(u64::MAX),
+        any::<u64>()
+    ]
+}
+
+fn columns_u32() -> impl Strategy<Value = Vec<u32>> {
+    prop::collection::vec(extreme_u32(), 0..6)
+}
+
+fn columns_u64() -> impl Strategy<Value = Vec<u64>> {
+    prop::collection::vec(extreme_u64(), 0..6)
+}
+
+fn heartbeat() -> impl Strategy<Value = HeartbeatFrame> {
+    let members = (columns_u32(), columns_u64(), columns_u32(), columns_u32());
+    let loads = (columns_u32(), columns_u32(), columns_u32(), columns_u32());
+    let parts = (
+        columns_u64(),
+        columns_u32(),
+        columns_u32(),
+        columns_u64(),
+        columns_u32(),
+    );
+    let rates = (columns_u32(), columns_u32(), columns_u32());
+    let numbers = (
+        extreme_u64(),
+        extreme_u64(),
+        prop::option::of(extreme_u64()),
+    );
+    (members, loads, parts, rates, numbers).prop_map(|(members, loads, parts, rates, numbers)| {
+        HeartbeatFrame {
+            members: Some(MemberColumns {
+                addresses: members.0,
+                incarnations: members.1,
+                states: members.2,
+                data_centers: members.3,
+            }),
+            config_version: numbers.0,
+            store_revision: numbers.1,
+            loads: Some(LoadColumns {
+                tags: loads.0,
+                running: loads.1,
+                waiting: loads.2,
+                ages: loads.3,
+            }),
+            store_age_ms: numbers.2,
+            parts: Some(PartColumns {
+                crash_parts: parts.0,
+                crash_upstreams: parts.1,
+                crash_ages: parts.2,
+                sound_parts: parts.3,
+                sound_ages: parts.4,
+            }),
+            rates: Some(RateColumns {
+                tags: rates.0,
+                limits: rates.1,
+                ages: rates.2,
+            }),
+        }
+    })
+}
+
+/// What a router keeps of heartbeats.
+struct Receiver {
+    members: MemberTable,
+    loads: LatestLoads,
+    limits: RateLimits,
+    parts: SuspectParts,
+    role: StoreRole,
+    plan: FetchPlan,
+}
+
+impl Receiver {
+    fn new() -> Self {
+        Self {
+            members: MemberTable::new(OWN, Vec::new()),
+            loads: LatestLoads::default(),
+            limits: RateLimits::default(),
+            parts: SuspectParts::default(),
+            role: StoreRole::new(Duration::from_secs(2)),
+            plan: FetchPlan::default(),
+        }
+    }
+
+    /// Merges a frame in the same way as the control thread.
+    fn merge(&mut self, frame: &HeartbeatFrame, now: MonoTime) {
+        let mut records = frame.members.iter().flat_map(MemberColumns::records);
+        let Some((sender, _)) = records.next() else {
+            return;
+        };
+        self.members.merge_heartbeat(sender, now);
+        for (record, age) in records {
+            self.members.merge_relayed(record, age, now);
+        }
+        for load in frame.loads.iter().flat_map(|loads| loads.reports(now)) {
+            self.loads.merge(load);
+        }
+        for report in frame.rates.iter().flat_map(|rates| rates.reports(now)) {
+            self.limits.merge(report);
+        }
+        if let Some(parts) = &frame.parts {
+            let now = part_time(now);
+            self.parts.merge(&parts.reports(now), now);
+        }
+        if let Some(report) = frame.store_report() {
+            self.role
+                .record_report(report, StoreRevision(u64::MAX), now);
+        }
+        let state = DocumentState {
+            version: ConfigVersion(frame.config_version),
+            revision: StoreRevision(frame.store_revision),
+        };
+        let context = FetchContext {
+            now,
+            own: DocumentState::default(),
+            booting: false,
+            reading: true,
+            store_failed: true,
+            store_active: MonoTime::default(),
+        };
+        self.plan.record_peer(sender.address, true, state, context);
+        self.plan.next_fetch(context);
+        self.plan.end_fetch(false, now);
+    }
+
+    /// Reads everything, and returns the frame that this router sends.
+    fn answer(&mut self, now: MonoTime) -> HeartbeatFrame {
+        let rng = &mut SmallRng::seed_from_u64(1);
+        self.role.update(&self.members, now);
+        self.role.age(now);
+        self.members.begin_round(now, rng);
+        let place = FleetPlace {
+            own: OWN.address,
+            routers: &[],
+            size: self.members.fleet_size(),
+        };
+        for tag in [0, 1, u32::MAX] {
+            self.limits.wait(UpstreamTag(tag), place, now);
+            self.limits.count(UpstreamTag(tag), place, now);
+        }
+        self.parts.remove_expired(part_time(now));
+        let mut frame = HeartbeatFrame::default();
+        let mut columns = MemberColumns::default();
+        for (record, age) in self.members.frame_records(now, rng) {
+            columns.push(&record, age);
+        }
+        frame.members = Some(columns);
+        let parts = self.parts.reports(part_time(now), rng);
+        frame.set_reports(
+            self.loads.busiest(now),
+            &parts,
+            &self.limits.reports(rng),
+            now,
+        );
+        frame
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded())]
+
+    #[test]
+    fn extreme_heartbeats(frames in prop::collection::vec(heartbeat(), 1..8), start in 0_u64..9000) {
+        let mut receiver = Receiver::new();
+        let mut now = MonoTime(Duration::from_secs(start));
+        for frame in frames {
+            let bytes = frame.encode_to_vec();
+            let decoded = HeartbeatFrame::decode(&bytes[..]).expect("a frame");
+            receiver.merge(&decoded, now);
+            now = now + Duration::from_millis(300);
+            let answer = receiver.answer(now).encode_to_vec();
+            HeartbeatFrame::decode(&answer[..]).expect("a frame");
+        }
+        // A sound frame still counts.
+        let mut sound = HeartbeatFrame::default();
+        let mut columns = MemberColumns::default();
+        let peer = MemberRecord { address: Ipv4Addr::new(10, 0, 0, 2), ..OWN };
+        columns.push(&peer, Duration::ZERO);
+        sound.members = Some(columns);
+        receiver.merge(&sound, now);
+        prop_assert!(receiver.members.is_live(peer.address, now));
+    }
+
+    #[test]
+    fn any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        let mut receiver = Receiver::new();
+        let now = MonoTime(Duration::from_secs(5));
+        if let Ok(frame) = HeartbeatFrame::decode(&bytes[..]) {
+            receiver.merge(&frame, now);
+            receiver.answer(now);
+        }
+        let _ = DocumentRequest::decode(&bytes[..]);
+        if let Ok(response) = DocumentResponse::decode(&bytes[..]) {
+            let changes = response.documents.into_iter().map(StoreChange::from);
+            let mut view = StoreView::new(TextCodec);
+            view.merge_peer(changes.collect(), StoreRevision(response.store_revision), now);
+        }
+    }
+
+    #[test]
+    fn extreme_documents(
+        numbers in prop::collection::vec((extreme_u64(), extreme_u32(), any::<bool>()), 1..12),
+        keys in prop::collection::vec("(up/)?\\PC{0,8}", 12),
+        full in any::<bool>(),
+        revision in extreme_u64(),
+        at in 0_u64..9000,
+    ) {
+        let now = MonoTime(Duration::from_secs(at));
+        let mut documents: Vec<DocumentFrame> = numbers
+            .iter()
+            .zip(&keys)
+            .map(|(&(revision, hold_ms, written), key)| DocumentFrame {
+                key: key.clone(),
+                revision,
+                value: written.then(|| Bytes::from_static(b"\xff")),
+                hold_ms,
+            })
+            .collect();
+        for key in ["up/sound-a", "up/sound-b"] {
+            documents.insert(documents.len() / 2, DocumentFrame {
+                key: key.to_owned(),
+                revision: 5,
+                value: Some(Bytes::new()),
+                hold_ms: 0,
+            });
+        }
+        let response = DocumentResponse { documents, store_revision: revision, full };
+        let response = DocumentResponse::decode(&response.encode_to_vec()[..]).expect("a frame");
+        let changes: Vec<StoreChange> =
+            response.documents.into_iter().map(StoreChange::from).collect();
+        let mut view = StoreView::new(TextCodec);
+        if full {
+            view.merge_peer_snapshot(changes, StoreRevision(revision), now);
+        } else {
+            view.merge_peer(changes, StoreRevision(revision), now);
+        }
+        view.tick(now + Duration::from_hours(1));
+        let upstreams = view.upstreams();
+        for id in ["sound-a", "sound-b"] {
+            prop_assert!(upstreams.iter().any(|entry| entry.id.as_str() == id));
+        }
+        view.changes_since(StoreRevision(0), now);
+    }
+
+}
+
+/// Groups in groups, which a decoder may follow by recursion.
+#[test]
+fn nested_groups() {
+    for tag in [0x0b_u8, 0x43, 0x7b] {
+        let bytes = vec![tag; 10_000];
+        assert!(HeartbeatFrame::decode(&bytes[..]).is_err());
+        assert!(DocumentResponse::decode(&bytes[..]).is_err());
+        assert!(PeerFrame::decode(&bytes[..]).is_err());
+    }
+}
+
+/// Guards against an overflow of the sum of running and queued calls: it ended the router or made a
+/// full upstream look idle.
+#[test]
+fn extreme_loads() {
+    let now = MonoTime(Duration::from_secs(5));
+    let report = |tag, running, waiting| UpstreamLoad {
+        upstream: UpstreamTag(tag),
+        load: LoadReport { running, waiting },
+        at: now,
+    };
+    let mut loads = LatestLoads::default();
+    loads.merge(report(1, 3, 0));
+    loads.merge(report(2, u32::MAX, 2));
+    let busiest = loads.busiest(now);
+    assert_eq!(busiest[0].upstream, UpstreamTag(2));
+    let mut stats = UpstreamStats::default();
+    stats.record_report(report(2, u32::MAX, 2).load, now);
+    assert!(stats.load(1, now) > 4e9);
+}
