Bound the durations that documents set

What would be seen: a configuration with TimeoutMs, TargetLatencyMs or GapTargetMs of 1.8e22 ends the router at each call, and rules with a time of 18446744073709551615s end routers of the project's own interface; after a restart they end again. An idle timeout of 65,536 seconds would become one second (read in the code, not run).

Cause: any duration that the type can hold was accepted, and sums and multiples of it panic.

Change: durations are bounded to 366 days where documents are read, points in time saturate, and the limits of connections are cut instead of wrapped.

--- a/src/forward/front_server.rs
+++ b/src/forward/front_server.rs
@@ -123,11 +123,14 @@
 /// Converts limits to connection settings. The HTTP library takes whole seconds, so times are
 /// rounded up; then one second is added.
 fn connection_config(limits: &EdgeLimits) -> HttpServiceConfig {
-    let seconds = |span: Duration| Seconds(span.as_millis().div_ceil(1000) as u16);
+    let seconds = |span: Duration| {
+        let seconds = span.as_millis().div_ceil(1000);
+        Seconds(u16::try_from(seconds).unwrap_or(u16::MAX))
+    };
     HttpServiceConfig::new()
         .set_keepalive_timeout(seconds(limits.idle_timeout) + Seconds::ONE)
         .set_client_timeout(seconds(limits.head_timeout) + Seconds::ONE)
-        .set_max_buf_size(2 * limits.head_bytes.0 as usize)
+        .set_max_buf_size((limits.head_bytes.0 as usize).saturating_mul(2))
 }
 
 async fn wait_until_closing<D: EdgeDialect>(state: &Rc<TrafficState<D>>) {
--- a/src/mono.rs
+++ b/src/mono.rs
@@ -25,8 +25,9 @@
 impl Add<Duration> for MonoTime {
     type Output = Self;
 
+    /// Returns the time `span` after this one, or the last time that can be expressed.
     fn add(self, span: Duration) -> Self {
-        Self(self.0 + span)
+        Self(self.0.saturating_add(span))
     }
 }
 
--- a/src/units.rs
+++ b/src/units.rs
@@ -27,7 +27,12 @@
     };
 }
 
+/// Longest time that a document may set. Sums and small multiples of it don't overflow.
+pub const MAX_TIME_SPAN: Duration = Duration::from_hours(24 * 366);
+
 /// A duration, written with its unit: `250ms`, `5s`, `10m`.
+///
+/// Invariant: if it was parsed, at most [`MAX_TIME_SPAN`].
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct TimeSpan(pub Duration);
@@ -48,14 +53,23 @@
     type Err = ValueError;
 
     fn from_str(text: &str) -> Result<Self, ValueError> {
-        humantime::parse_duration(text)
+        let span = humantime::parse_duration(text).ok();
+        span.filter(|span| *span <= MAX_TIME_SPAN)
             .map(Self)
-            .map_err(|_| ValueError::new(text, "a duration with its unit, such as 250ms or 5s"))
+            .ok_or_else(|| ValueError::new(text, "a duration with its unit, such as 250ms or 5s"))
     }
 }
 
 serde_as_text!(TimeSpan);
 
+/// Converts seconds to a duration. Negative values become zero and too large ones
+/// [`MAX_TIME_SPAN`].
+pub fn bounded_seconds(seconds: f64) -> Duration {
+    let bounded = seconds.clamp(0.0, MAX_TIME_SPAN.as_secs_f64());
+    // Fails only if the value is not a number.
+    Duration::try_from_secs_f64(bounded).unwrap_or_default()
+}
+
 /// A number of bytes, written with its unit: `64KiB`, `1MiB`, `512B`.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
 #[serde(try_from = "String", into = "String")]
--- a/tests/odd_frames.rs
+++ b/tests/odd_frames.rs
@@ -23,6 +23,7 @@
 use hawthornrouter::policy::suspect_parts::{SuspectParts, part_time};
 use hawthornrouter::policy::upstream_stats::UpstreamStats;
 use hawthornrouter::route::ConfigVersion;
+use hawthornrouter::units::{MAX_TIME_SPAN, TimeSpan};
 use hawthornrouter::wire::PeerFrame;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -312,6 +313,13 @@
         view.changes_since(StoreRevision(0), now);
     }
 
+    #[test]
+    fn any_duration(text in "[0-9]{1,24}(ns|us|ms|s|m|h|days|weeks|months|years)") {
+        if let Ok(span) = text.parse::<TimeSpan>() {
+            prop_assert!(span.0 <= MAX_TIME_SPAN);
+            prop_assert!(span.0.mul_f64(4.0) > span.0 || span.0.is_zero());
+        }
+    }
 }
 
 /// Groups in groups, which a decoder may follow by recursion.
@@ -344,3 +352,17 @@
     stats.record_report(report(2, u32::MAX, 2).load, now);
     assert!(stats.load(1, now) > 4e9);
 }
+
+/// Guards against a time limit of the rules whose deadline overflows: every request would end the
+/// router.
+#[test]
+fn endless_time_span() {
+    let now = MonoTime(Duration::from_secs(5));
+    for text in ["18446744073709551615s", "584942417355years"] {
+        if let Ok(span) = text.parse::<TimeSpan>() {
+            let deadline = now + span.0;
+            assert!(deadline > now);
+        }
+    }
+    assert_eq!((now + Duration::MAX).0, Duration::MAX);
+}
