Limit the number of log lines about unusable entries

What was seen: 2,654 lines for 3,000 odd entries, and a line for each rewrite of one odd entry.

Change: an entry that stays unusable is logged once, and a merge logs at most 20 unusable entries, apart from those that it has for usable ones, and the number of the others.

Evidence: at thousands_of_odd_entries, one_line_for_odd_entry and routers_follow_on fail; they pass now. The stand-in of the store can return items with odd fields.

--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -142,6 +142,10 @@
     /// Number of entries that the merge in progress may still log. A whole fleet of upstreams that
     /// is read at once would fill the log of each router.
     log_quota: usize,
+    /// The same for entries that can't be decoded.
+    unusable_quota: usize,
+    /// Number of entries that can't be decoded and that the merge in progress didn't log.
+    unlogged: usize,
     last_failure: Option<MonoTime>,
     recovered: Option<MonoTime>,
 }
@@ -158,6 +162,8 @@
             entries: BTreeMap::new(),
             discarded: StoreStamp::default(),
             log_quota: MAX_LOGGED_ENTRIES,
+            unusable_quota: MAX_LOGGED_ENTRIES,
+            unlogged: 0,
             last_failure: None,
             recovered: None,
         }
@@ -274,6 +280,7 @@
         for change in changes {
             effect.join(self.merge_change(change, now));
         }
+        self.end_log();
         self.advance(stamp);
         effect
     }
@@ -292,6 +299,7 @@
         for item in items {
             effect.join(self.write(item, Duration::ZERO, now));
         }
+        self.end_log();
         effect
     }
 
@@ -352,6 +360,7 @@
                 }
             });
         }
+        self.end_log();
         self.advance(stamp);
         effect
     }
@@ -455,6 +464,27 @@
     /// Starts the log lines of a new merge.
     fn begin_log(&mut self) {
         self.log_quota = MAX_LOGGED_ENTRIES;
+        self.unusable_quota = MAX_LOGGED_ENTRIES;
+    }
+
+    /// Logs how many entries that can't be decoded the merge left out of the log.
+    fn end_log(&mut self) {
+        let count = std::mem::take(&mut self.unlogged);
+        if count > 0 {
+            spdlog::warn!("entries-unlogged", kv: { count: = count });
+        }
+    }
+
+    /// Logs an entry that can't be decoded.
+    fn log_unusable(&mut self, key: &str, stamp: StoreStamp, error: &anyhow::Error) {
+        if self.unusable_quota == 0 {
+            self.unlogged += 1;
+            return;
+        }
+        self.unusable_quota -= 1;
+        spdlog::warn!("entry-unusable", kv: {
+            key: = key, revision: = stamp.revision, era: = stamp.era, reason: = error
+        });
     }
 
     /// Merges a document. An entry with a positive `withheld` is not used for that time, unless this
@@ -474,15 +504,11 @@
         if known.is_some_and(|cached| cached.stamp >= item.stamp) {
             return MergeEffect::default();
         }
-        let entry = match decoded {
-            Ok(entry) => Some(Arc::new(entry)),
-            Err(error) => {
-                spdlog::warn!("entry-unusable", kv: {
-                    key: = item.key, revision: = item.stamp.revision, era: = item.stamp.era,
-                    reason: = error
-                });
-                None
-            }
+        let was_unusable =
+            known.is_some_and(|cached| matches!(cached.state, EntryState::Present(_, None)));
+        let (entry, fault) = match decoded {
+            Ok(entry) => (Some(Arc::new(entry)), None),
+            Err(error) => (None, Some(error)),
         };
         let before = known.and_then(|cached| cached.state.usable().cloned());
         let doubtful = known
@@ -496,6 +522,11 @@
             }
             (_, entry) => EntryState::Present(item.value, entry),
         };
+        if let Some(fault) = fault
+            && !was_unusable
+        {
+            self.log_unusable(&item.key, item.stamp, &fault);
+        }
         let after = state.usable().cloned();
         let is_withheld = matches!(state, EntryState::Withheld(..));
         let cached = CachedEntry {
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -50,10 +50,26 @@
     items: BTreeMap<String, (Vec<u8>, u64)>,
     /// Revision, key and content of each change in order; `None` for a removal.
     history: Vec<(u64, String, Option<Vec<u8>>)>,
+    /// Key, name and value of fields in which an item differs from what was written.
+    odd_fields: Vec<(String, String, Value)>,
     /// Changes up to this revision have been discarded.
     discarded: u64,
 }
 
+impl StoreState {
+    fn item_json(&self, key: &str, value: &[u8], revision: u64) -> Value {
+        let mut item = json!({
+            "Key": key, "Value": BASE64.encode(value), "Revision": revision, "Created": revision,
+            "Lease": 0
+        });
+        let odd_fields = self.odd_fields.iter().filter(|(owner, _, _)| owner == key);
+        for (_, field, value) in odd_fields {
+            item[field] = value.clone();
+        }
+        item
+    }
+}
+
 /// A running store. Its threads run until the process exits. All its addresses serve the same
 /// items, and each has a mode of its own, so that the store can serve some routers and refuse
 /// others.
@@ -97,6 +113,7 @@
             revision: 1,
             items: BTreeMap::new(),
             history: Vec::new(),
+            odd_fields: Vec::new(),
             discarded: 0,
         };
         Self {
@@ -137,6 +154,13 @@
         self.apply_change(key, None);
     }
 
+    /// Replaces a field of the item that pages and watches return for `key`.
+    pub fn set_item_field(&self, key: &str, field: &str, value: Value) {
+        let mut state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let odd_field = (key.to_owned(), field.to_owned(), value);
+        state.odd_fields.push(odd_field);
+    }
+
     /// Discards the history, so that a watch from an older revision gets status 410.
     pub fn discard_history(&self) {
         let (state, changed) = &*self.state;
@@ -273,7 +297,7 @@
             .iter()
             .filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after)
             .take(PAGE_ITEMS + 1)
-            .map(|(key, (value, revision))| item_json(key, value, *revision))
+            .map(|(key, (value, revision))| state.item_json(key, value, *revision))
             .collect();
         let more = items.len() > PAGE_ITEMS;
         items.truncate(PAGE_ITEMS);
@@ -302,7 +326,7 @@
             .iter()
             .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
             .map(|(revision, key, value)| match value {
-                Some(value) => item_json(key, value, *revision),
+                Some(value) => state.item_json(key, value, *revision),
                 None => json!({"Key": key, "Revision": revision, "Tombstone": true}),
             })
             .collect();
@@ -312,10 +336,3 @@
         )
     }
 }
-
-fn item_json(key: &str, value: &[u8], revision: u64) -> Value {
-    json!({
-        "Key": key, "Value": BASE64.encode(value), "Revision": revision, "Created": revision,
-        "Lease": 0
-    })
-}
