Cut log values after 400 bytes

What was seen: a line of 262,304 bytes for an entry whose State is a text of 256 KB, which the reason quotes.

Change: the formatter of lines cuts each value, whichever event it is of.

--- a/src/log.rs
+++ b/src/log.rs
@@ -1,6 +1,6 @@
 //! Log output: one line of `key=value` pairs per event.
 
-use std::fmt::Write as _;
+use std::fmt::{self, Write as _};
 use std::io::{self, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -16,6 +16,10 @@
 /// so that logging never blocks.
 const QUEUE_LINES: usize = 4096;
 
+/// Longest value in a line, in bytes. Values may quote what others sent, such as documents of the
+/// store.
+const MAX_VALUE_BYTES: usize = 400;
+
 /// Time for which lines are collected before a write, so that a burst needs only one write.
 const BATCH_PERIOD: Duration = Duration::from_millis(50);
 
@@ -48,7 +52,9 @@
     write!(dest, " level={}", record.level().as_str())?;
     write!(dest, " event={}", record.payload())?;
     for (key, value) in record.key_values() {
-        let text = value.to_string();
+        let mut value_text = ValueText::default();
+        write!(value_text, "{value}")?;
+        let text = value_text.0;
         if text.contains([' ', '"', '=', '\n']) {
             write!(dest, " {}={text:?}", key.as_str())?;
         } else {
@@ -58,6 +64,26 @@
     writeln!(dest)
 }
 
+/// The text of a value, cut after [`MAX_VALUE_BYTES`].
+#[derive(Default)]
+struct ValueText(String);
+
+impl fmt::Write for ValueText {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        // A text that was cut is longer than the limit.
+        let Some(room) = MAX_VALUE_BYTES.checked_sub(self.0.len()) else {
+            return Ok(());
+        };
+        if text.len() <= room {
+            self.0.push_str(text);
+        } else {
+            self.0.push_str(&text[..text.floor_char_boundary(room)]);
+            self.0.push_str("[...]");
+        }
+        Ok(())
+    }
+}
+
 fn install(sink: Arc<dyn Sink>, level: LevelFilter) {
     if let Ok(logger) = Logger::builder().sink(sink).level_filter(level).build() {
         spdlog::set_default_logger(Arc::new(logger));
