Log once why a settings file is rejected

What was seen: a file that stays invalid is logged every two seconds.

Change: the line is written again only if the reason changes, or at a signal.

Evidence: without the change one_line_for_odd_settings finds three lines in place of one.

--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -62,6 +62,8 @@
     /// State of the store that the last notice to peers announced.
     noticed: StoreStamp,
     stop_requested: Option<MonoTime>,
+    /// Why the settings file was rejected when it was last read.
+    settings_fault: Option<String>,
     last_tick: MonoTime,
     ticks: u64,
 }
@@ -100,6 +102,7 @@
             store_unreachable: false,
             noticed: StoreStamp::default(),
             stop_requested: None,
+            settings_fault: None,
             last_tick: now,
             ticks: 0,
         }
@@ -481,10 +484,15 @@
         let settings = match source.read() {
             Ok(settings) => settings,
             Err(error) => {
-                spdlog::warn!("settings-rejected", kv: { cause: = cause, reason: = error });
+                let reason = error.to_string();
+                if cause == "signal" || self.settings_fault.as_ref() != Some(&reason) {
+                    spdlog::warn!("settings-rejected", kv: { cause: = cause, reason: = reason });
+                }
+                self.settings_fault = Some(reason);
                 return;
             }
         };
+        self.settings_fault = None;
         let before = self.board.settings.load_full();
         if *before == settings {
             if cause == "signal" {
