--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -122,3 +122,32 @@
         prop_assert_eq!(state.rejected().is_none(), damaged);
     }
 }
+
+/// Guards against a parser that follows nested values by recursion until its stack overflows.
+#[test]
+fn nested_documents() {
+    let depth = 10_000;
+    let arrays = format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+    let objects = format!("{}1{}", "{\"a\":".repeat(depth), "}".repeat(depth));
+    let open = "[".repeat(depth);
+    for text in [&arrays, &open, &format!("vm: {objects}")] {
+        assert!(parse_yaml::<RouterSettings>("router.yaml", text).is_err());
+        assert!(parse_yaml::<AssetRegister>("register.yaml", text).is_err());
+        assert!(parse_yaml::<RuleBook>("rules.yaml", text).is_err());
+    }
+    for text in [&arrays, &objects, &open] {
+        for part in [
+            text.clone(),
+            format!("{{\"kind\":\"rules\",\"value\":{text}}}"),
+        ] {
+            let digest = PartDigest::of(&part);
+            let manifest = ConfigManifest {
+                revision: RevisionNumber(5),
+                parts: vec![digest.clone()],
+            };
+            let parts = [(digest, part)].into_iter().collect();
+            assert!(PackedBundle { manifest, parts }.unpack().is_err());
+        }
+        assert!(serde_json::from_str::<ConfigManifest>(text).is_err());
+    }
+}
