--- a/tests/odd_frames.rs
+++ b/tests/odd_frames.rs
@@ -11,7 +11,8 @@
 use hawthornrouter::fleet::fetch_plan::{DocumentState, FetchContext, FetchPlan};
 use hawthornrouter::fleet::member_table::{MemberRecord, MemberStage, MemberTable};
 use hawthornrouter::fleet::store_role::StoreRole;
-use hawthornrouter::fleet::store_view::{StoreChange, StoreRevision, StoreView};
+use hawthornrouter::fleet::store_stamp::StoreStamp;
+use hawthornrouter::fleet::store_view::{StoreChange, StoreView};
 use hawthornrouter::gossip::frames::{
     DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame, LoadColumns, MemberColumns,
     PartColumns, RateColumns,
@@ -97,6 +98,7 @@
         extreme_u64(),
         extreme_u64(),
         prop::option::of(extreme_u64()),
+        extreme_u64(),
     );
     (members, loads, parts, rates, numbers).prop_map(|(members, loads, parts, rates, numbers)| {
         HeartbeatFrame {
@@ -108,6 +110,7 @@
             }),
             config_version: numbers.0,
             store_revision: numbers.1,
+            store_era: numbers.3,
             loads: Some(LoadColumns {
                 tags: loads.0,
                 running: loads.1,
@@ -175,11 +178,11 @@
         }
         if let Some(report) = frame.store_report() {
             self.role
-                .record_report(report, StoreRevision(u64::MAX), now);
+                .record_report(report, StoreStamp::new(u64::MAX, u64::MAX), now);
         }
         let state = DocumentState {
             version: ConfigVersion(frame.config_version),
-            revision: StoreRevision(frame.store_revision),
+            stamp: frame.store_stamp(),
         };
         let context = FetchContext {
             now,
@@ -262,9 +265,10 @@
         }
         let _ = DocumentRequest::decode(&bytes[..]);
         if let Ok(response) = DocumentResponse::decode(&bytes[..]) {
+            let stamp = response.store_stamp();
             let changes = response.documents.into_iter().map(StoreChange::from);
             let mut view = StoreView::new(TextCodec);
-            view.merge_peer(changes.collect(), StoreRevision(response.store_revision), now);
+            view.merge_peer(changes.collect(), stamp, now);
         }
     }
 
@@ -274,6 +278,8 @@
         keys in prop::collection::vec("(up/)?\\PC{0,8}", 12),
         full in any::<bool>(),
         revision in extreme_u64(),
+        store_era in extreme_u64(),
+        base_revision in extreme_u64(),
         at in 0_u64..9000,
     ) {
         let now = MonoTime(Duration::from_secs(at));
@@ -285,6 +291,8 @@
                 revision,
                 value: written.then(|| Bytes::from_static(b"\xff")),
                 hold_ms,
+                era: revision,
+                withheld_ms: hold_ms,
             })
             .collect();
         for key in ["up/sound-a", "up/sound-b"] {
@@ -293,24 +301,33 @@
                 revision: 5,
                 value: Some(Bytes::new()),
                 hold_ms: 0,
+                era: store_era,
+                withheld_ms: 0,
             });
         }
-        let response = DocumentResponse { documents, store_revision: revision, full };
+        let response = DocumentResponse {
+            documents,
+            store_revision: revision,
+            full,
+            store_era,
+            base_revision,
+        };
         let response = DocumentResponse::decode(&response.encode_to_vec()[..]).expect("a frame");
+        let (stamp, base) = (response.store_stamp(), response.base());
         let changes: Vec<StoreChange> =
             response.documents.into_iter().map(StoreChange::from).collect();
         let mut view = StoreView::new(TextCodec);
         if full {
-            view.merge_peer_snapshot(changes, StoreRevision(revision), now);
+            view.merge_peer_snapshot(changes, stamp, base, now);
         } else {
-            view.merge_peer(changes, StoreRevision(revision), now);
+            view.merge_peer(changes, stamp, now);
         }
         view.tick(now + Duration::from_hours(1));
         let upstreams = view.upstreams();
         for id in ["sound-a", "sound-b"] {
             prop_assert!(upstreams.iter().any(|entry| entry.id.as_str() == id));
         }
-        view.changes_since(StoreRevision(0), now);
+        view.changes_since(StoreStamp::default(), now);
     }
 
     #[test]
