Tell apart the starts of an upstream under one id

An upstream may start again under the id that it had; its entry then has another time of start (born).

The start that the order of the store's entries compares is the same field now (StartTime).

--- a/src/fleet/cached_entry.rs
+++ b/src/fleet/cached_entry.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 
 use crate::fleet::store_stamp::StoreStamp;
-use crate::fleet::upstream_entry::{ServingState, UpstreamEntry, UpstreamStart};
+use crate::fleet::upstream_entry::{ServingState, StartTime, UpstreamEntry};
 use crate::mono::MonoTime;
 
 /// State of an entry.
@@ -19,7 +19,7 @@
     /// Removed, but used until this time in case the removal was an expiry.
     Expiring(MonoTime, Arc<UpstreamEntry>),
     /// Removed at this time.
-    Removed(MonoTime, Option<UpstreamStart>),
+    Removed(MonoTime, Option<StartTime>),
 }
 
 /// A known entry.
@@ -59,17 +59,17 @@
     }
 
     /// When the run of the upstream that was known last started.
-    pub(super) fn start(&self) -> Option<UpstreamStart> {
+    pub(super) fn start(&self) -> Option<StartTime> {
         match self {
-            Self::Present(_, entry) => entry.as_ref()?.start,
-            Self::Withheld(_, _, entry) | Self::Expiring(_, entry) => entry.start,
+            Self::Present(_, entry) => entry.as_ref()?.started,
+            Self::Withheld(_, _, entry) | Self::Expiring(_, entry) => entry.started,
             Self::Removed(_, start) => *start,
         }
     }
 
     /// Judges a listing of this entry that may be older than the store's restore.
     pub(super) fn judge_listing(&self, listed: &UpstreamEntry) -> ListingVerdict {
-        if let (Some(known), Some(start)) = (self.start(), listed.start)
+        if let (Some(known), Some(start)) = (self.start(), listed.started)
             && known != start
         {
             return if start > known {
--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -394,7 +394,7 @@
         for (key, cached) in &mut self.entries {
             match &cached.state {
                 EntryState::Expiring(until, entry) if *until <= now => {
-                    cached.state = EntryState::Removed(now, entry.start);
+                    cached.state = EntryState::Removed(now, entry.started);
                     effect.upstreams = true;
                 }
                 EntryState::Withheld(until, value, entry) if *until <= now => {
--- a/src/fleet/upstream_entry.rs
+++ b/src/fleet/upstream_entry.rs
@@ -6,7 +6,9 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use crate::ids::{DataCenterId, ServiceId, UpstreamId};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::{DataCenterId, ServiceId, UpstreamId, UpstreamStart};
 
 /// Whether an upstream accepts new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -17,17 +19,17 @@
     Draining,
 }
 
-/// Unix milliseconds at which an upstream started, by its own clock.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct UpstreamStart(pub u64);
+/// When an upstream started, in milliseconds since the Unix epoch by its own clock.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StartTime(pub u64);
 
-impl fmt::Display for UpstreamStart {
+impl fmt::Display for StartTime {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
+        self.0.fmt(f)
     }
 }
 
-impl FromStr for UpstreamStart {
+impl FromStr for StartTime {
     type Err = ParseIntError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
@@ -50,6 +52,14 @@
     pub state: ServingState,
     /// How long it is slower than usual after its start.
     pub warm_up: Duration,
-    /// When it started, which tells apart two runs under one id; `None` if its entry doesn't say.
-    pub start: Option<UpstreamStart>,
+    /// Tells apart the starts under one id. Without it, they all count as one.
+    pub started: Option<StartTime>,
+}
+
+impl UpstreamEntry {
+    /// Identifies this start of the upstream.
+    pub fn start(&self) -> UpstreamStart {
+        let started = self.started.unwrap_or_default();
+        UpstreamStart(xxh3_64_with_seed(self.id.as_str().as_bytes(), started.0))
+    }
 }
--- a/src/forward/connection_pool.rs
+++ b/src/forward/connection_pool.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::forward::http_connection::HttpConnection;
-use crate::ids::UpstreamKey;
+use crate::ids::{UpstreamKey, UpstreamStart};
 use crate::mono::MonoTime;
 
 /// Divisor of the idle timeout that an upstream announces in `Keep-Alive`. A connection is not
@@ -27,6 +27,8 @@
 
 struct IdleConnection {
     connection: HttpConnection,
+    /// The start of the upstream that was registered when the call was sent.
+    start: UpstreamStart,
     idle_since: MonoTime,
     timeout: Duration,
 }
@@ -51,11 +53,12 @@
 }
 
 impl ConnectionPool {
-    /// Removes and returns the connection that was used last. Returns `None` if no idle connection
-    /// meets `condition`.
+    /// Removes and returns the connection to this start of the upstream that was used last. Returns
+    /// `None` if no idle connection meets `condition`.
     pub fn take(
         &mut self,
         upstream: UpstreamKey,
+        start: UpstreamStart,
         condition: ReuseCondition,
         now: MonoTime,
     ) -> Option<HttpConnection> {
@@ -64,8 +67,11 @@
             return None;
         }
         let connections = self.idle.get_mut(&upstream)?;
-        connections
-            .retain(|idle| idle.connection.usable() && now.since(idle.idle_since) <= idle.timeout);
+        connections.retain(|idle| {
+            idle.start == start
+                && idle.connection.usable()
+                && now.since(idle.idle_since) <= idle.timeout
+        });
         let last = connections.last()?;
         if condition == ReuseCondition::RecentlyUsed
             && now.since(last.idle_since) > MAX_IDLE_UNREPEATABLE
@@ -80,6 +86,7 @@
     pub fn put(
         &mut self,
         upstream: UpstreamKey,
+        start: UpstreamStart,
         connection: HttpConnection,
         announced: Option<Duration>,
         now: MonoTime,
@@ -93,6 +100,7 @@
         }
         connections.push(IdleConnection {
             connection,
+            start,
             idle_since: now,
             timeout,
         });
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -169,7 +169,11 @@
             ReuseCondition::RecentlyUsed
         };
         let now = self.state.now();
-        let idle = self.state.pool.borrow_mut().take(guard.key, condition, now);
+        let start = guard.entry.start();
+        let idle = {
+            let mut pool = self.state.pool.borrow_mut();
+            pool.take(guard.key, start, condition, now)
+        };
         if let Some(connection) = idle {
             self.update_choice(|choice| choice.reused = true);
             return Ok(connection);
@@ -354,7 +358,8 @@
         if reuse.allowed {
             let now = self.state.now();
             let mut pool = self.state.pool.borrow_mut();
-            pool.put(guard.key, connection, reuse.idle_timeout, now);
+            let start = guard.entry.start();
+            pool.put(guard.key, start, connection, reuse.idle_timeout, now);
         }
     }
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -112,6 +112,16 @@
     RequestId, RequestKey
 );
 
+/// Identifies one start of an upstream: a hash of its identifier and of the time of the start.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct UpstreamStart(pub u64);
+
+impl fmt::Display for UpstreamStart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 fn check_id(text: &str) -> Result<(), ValueError> {
     let is_allowed =
         |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':');
--- a/tests/store_codec/mod.rs
+++ b/tests/store_codec/mod.rs
@@ -48,6 +48,6 @@
             _ => ServingState::Ready,
         },
         warm_up: Duration::ZERO,
-        start: start.parse().ok(),
+        started: start.parse().ok(),
     })
 }
