Send nothing to an upstream that has said that it leaves

Upstreams now say in each response that they leave (Server-Leaving: 1), also while the store says that they are ready or is away. Nothing read it.

The first head with the mark, at any status but 421 and if it belongs to the call, ends all sending to that start of the upstream: calls, repeats, resumed streams and trials, also those whose connection is being opened. Idle connections to it are closed, and a crash of a leaving upstream is not traced to a prompt. Peers hear of a mark in notices, at once and five times again in 8 s, in the answer to a router that is new to them, and in every 28th heartbeat. The mark ends with the entry or with another start under its id.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -153,6 +153,8 @@
     /// Load of the upstream at the response.
     pub load: Option<LoadReport>,
     pub rate: RateStatement,
+    /// Whether the upstream states that it leaves.
+    pub leaving: bool,
 }
 
 /// A caller's request for router addresses.
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -58,6 +58,9 @@
         guard: UpstreamGuard<D>,
     ) -> Result<UpstreamResponse<D>, AttemptFault> {
         let mut connection = self.acquire_connection(&guard).await?;
+        if self.state.leaves(&guard.entry) {
+            return Err(AttemptFault::Unsent);
+        }
         if self.attempts.is_repeat() {
             self.state.count_repeat(&self.service);
         }
@@ -107,6 +110,7 @@
         };
         if summary.is_current() {
             self.state.record_response_head(&guard.entry, &head);
+            self.state.record_statements(&guard.entry, &head);
         }
         if summary.origin == ResponseOrigin::Unproven {
             let now = self.state.now();
@@ -355,7 +359,7 @@
             ..
         } = source;
         self.state.record_success(guard.key);
-        if reuse.allowed {
+        if reuse.allowed && !self.state.leaves(&guard.entry) {
             let now = self.state.now();
             let mut pool = self.state.pool.borrow_mut();
             let start = guard.entry.start();
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -255,6 +255,23 @@
         })
     }
 
+    /// Returns the upstreams among `members` that have said that they want no request.
+    fn declining_upstreams(&self, members: &[&Arc<UpstreamEntry>]) -> Vec<UpstreamKey> {
+        let leaving = self.board.leaving_upstreams();
+        if leaving.is_empty() {
+            return Vec::new();
+        }
+        let declining = members
+            .iter()
+            .filter(|entry| leaving.contains(entry.start()));
+        declining.map(|entry| entry.id.key()).collect()
+    }
+
+    /// Returns whether the upstream has said that it leaves.
+    pub fn leaves(&self, entry: &UpstreamEntry) -> bool {
+        self.board.leaving_upstreams().contains(entry.start())
+    }
+
     /// Returns the time until a limit of an upstream of `service` allows another request, or `None`
     /// if none of them sets a limit.
     pub fn limit_wait(&self, service: &ServiceId) -> Option<Duration> {
@@ -295,7 +312,8 @@
         suspect: &[UpstreamKey],
     ) -> Vec<UpstreamCandidate> {
         let now = self.now();
-        let limited = self.limited_upstreams(members);
+        let mut declining = self.limited_upstreams(members);
+        declining.extend(self.declining_upstreams(members));
         let settings = self.board.settings.load();
         let router_count = self.board.fleet_size.load(Ordering::Relaxed);
         let upstream_stats = self.upstream_stats.borrow();
@@ -316,7 +334,7 @@
                 let stats = stats_of(key);
                 let is_excluded = entry.state == ServingState::Draining
                     || excluded.contains(&key)
-                    || limited.contains(&key)
+                    || declining.contains(&key)
                     || stats.own_calls >= max_own_calls.max(1);
                 let eligibility = if is_excluded {
                     Eligibility::Excluded
@@ -350,11 +368,14 @@
         suspects.decide(parts, own, addresses, now)
     }
 
-    /// Returns whether the upstream is draining or no longer registered.
+    /// Returns whether the upstream is draining, has said that it leaves, or is no longer registered.
     pub fn is_leaving(&self, upstream: UpstreamKey) -> bool {
         let upstreams = self.board.upstreams.load();
         let entry = upstreams.iter().find(|entry| entry.id.key() == upstream);
-        entry.is_none_or(|entry| entry.state == ServingState::Draining)
+        entry.is_none_or(|entry| {
+            entry.state == ServingState::Draining
+                || self.board.leaving_upstreams().contains(entry.start())
+        })
     }
 
     /// Returns whether the upstream's latest load report, if still valid, shows queued calls.
@@ -411,6 +432,15 @@
         }
     }
 
+    /// Records what an upstream says of itself in a response.
+    pub fn record_statements(&self, entry: &UpstreamEntry, head: &ResponseHead) {
+        if head.leaving {
+            let mut leaving = self.board.leaving_upstreams();
+            leaving.record(entry.start(), self.now());
+            self.pool.borrow_mut().close(entry.id.key());
+        }
+    }
+
     /// Records that an upstream completed a call.
     pub fn record_success(&self, upstream: UpstreamKey) {
         let now = self.now();
@@ -489,7 +519,11 @@
         set_count(&self.telemetry.upstreams_limited, rate_limits.limited());
         drop(rate_limits);
         self.prompt_load.borrow_mut().remove_idle(self.now());
+        let members: Vec<&Arc<UpstreamEntry>> = upstreams.iter().collect();
         let mut pool = self.pool.borrow_mut();
+        for upstream in self.declining_upstreams(&members) {
+            pool.close(upstream);
+        }
         pool.sweep(self.now());
         set_count(&self.telemetry.idle_links, pool.len());
     }
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -8,6 +8,7 @@
 use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::forward_settings::ForwardSettings;
 use crate::policy::latest_loads::LatestLoads;
+use crate::policy::leaving_upstreams::LeavingUpstreams;
 use crate::policy::locate_choice::RouterPlace;
 use crate::policy::rate_limits::RateLimits;
 use crate::policy::suspect_parts::SuspectParts;
@@ -61,6 +62,7 @@
     load_reports: Mutex<LatestLoads>,
     suspect_parts: Mutex<SuspectParts>,
     rate_limits: Mutex<RateLimits>,
+    leaving_upstreams: Mutex<LeavingUpstreams>,
     stage: AtomicU8,
 }
 
@@ -78,6 +80,7 @@
             load_reports: Mutex::default(),
             suspect_parts: Mutex::default(),
             rate_limits: Mutex::default(),
+            leaving_upstreams: Mutex::default(),
             stage: AtomicU8::new(ForwardStage::Booting as u8),
         }
     }
@@ -103,6 +106,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the upstreams that have said that they leave. Both threads keep the lock only briefly.
+    pub fn leaving_upstreams(&self) -> MutexGuard<'_, LeavingUpstreams> {
+        self.leaving_upstreams
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub fn stage(&self) -> ForwardStage {
         ForwardStage::ALL[usize::from(self.stage.load(Ordering::Relaxed))]
     }
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -21,6 +21,7 @@
 use crate::forward_settings::ForwardSettings;
 use crate::gossip::frames::{HeartbeatFrame, MemberColumns, PartColumns};
 use crate::mono::{MonoTime, ProcessClock};
+use crate::policy::leaving_upstreams::{LeavingChange, MARK_ROUNDS, MAX_NOTICE_MARKS};
 use crate::policy::locate_choice::RouterPlace;
 use crate::policy::suspect_parts::{PartChange, part_time};
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
@@ -126,6 +127,12 @@
 
     /// Encodes a heartbeat with the current state.
     pub fn encode_heartbeat(&self) -> Vec<u8> {
+        let marks = usize::from(self.ticks.is_multiple_of(MARK_ROUNDS));
+        self.heartbeat_frame(marks).encode_to_vec()
+    }
+
+    /// A heartbeat with up to `marks` upstreams that leave.
+    fn heartbeat_frame(&self, marks: usize) -> HeartbeatFrame {
         let now = self.now();
         let mut frame = self.notice_frame(now);
         if let Some(members) = &mut frame.members {
@@ -140,7 +147,9 @@
             .reports(part_time(now), &mut rand::rng());
         let rates = self.board.rate_limits().reports(&mut rand::rng());
         frame.set_reports(loads, &parts, &rates, now);
-        frame.encode_to_vec()
+        let leaving = self.board.leaving_upstreams();
+        frame.set_leaving(&leaving.reports(marks, &mut rand::rng()), now);
+        frame
     }
 
     /// A heartbeat without records of other members and without loads.
@@ -158,6 +167,7 @@
             parts: None,
             rates: None,
             store_era: stamp.era.0,
+            leaving: None,
         }
     }
 
@@ -166,7 +176,8 @@
     pub fn take_notice(&mut self) -> Option<(Vec<u8>, Vec<SocketAddr>)> {
         let stamp = self.store_view.stamp();
         let parts = self.board.suspect_parts().take_notice();
-        if stamp <= self.noticed && parts.is_empty() {
+        let leaving = self.board.leaving_upstreams().take_notice();
+        if stamp <= self.noticed && parts.is_empty() && leaving.is_empty() {
             return None;
         }
         let now = self.now();
@@ -178,6 +189,9 @@
         }
         if !parts.is_empty() {
             frame.parts = Some(PartColumns::new(&parts, part_time(now)));
+        }
+        frame.set_leaving(&leaving, now);
+        if !parts.is_empty() || !leaving.is_empty() {
             targets.extend(self.members.any_targets(now, &mut rand::rng()));
         }
         let targets = targets
@@ -212,6 +226,12 @@
                 rate_limits.merge(report);
             }
         }
+        if let Some(columns) = &frame.leaving {
+            let mut leaving = self.board.leaving_upstreams();
+            for report in columns.reports(now) {
+                leaving.merge(report, sender.address, now);
+            }
+        }
         let objections = frame.parts.as_ref().map(|parts| {
             let reports = parts.reports(part_time(now));
             self.board.suspect_parts().merge(&reports, part_time(now))
@@ -228,7 +248,7 @@
         }
         self.record_newer_peer(&sender, &frame);
         if new {
-            return Some(self.encode_heartbeat());
+            return Some(self.heartbeat_frame(MAX_NOTICE_MARKS).encode_to_vec());
         }
         let objections = objections.filter(|objections| !objections.is_empty())?;
         let mut reply = self.notice_frame(now);
@@ -380,6 +400,7 @@
         let effect = self.store_view.tick(now);
         self.publish(effect);
         self.update_suspect_parts(part_time(now));
+        self.update_leaving(now);
         let targets = self.members.begin_round(now, &mut rand::rng());
         self.publish_members(now);
         let calls = self.board.calls.load(Ordering::Relaxed);
@@ -419,6 +440,28 @@
         set_count(&self.telemetry.parts_held, suspects.held(now).count());
     }
 
+    /// Forgets the marks of upstreams that are gone, and logs which upstreams leave or have left.
+    fn update_leaving(&self, now: MonoTime) {
+        let upstreams = self.board.upstreams.load();
+        let entries = upstreams.iter().map(|entry| (entry.start(), &entry.id));
+        let mut leaving = self.board.leaving_upstreams();
+        let changes = leaving.update(entries, now);
+        set_count(&self.telemetry.upstreams_leaving, leaving.registered());
+        drop(leaving);
+        if changes.len() > MAX_LOGGED_ENTRIES {
+            spdlog::info!("upstreams-leaving", kv: { changes: = changes.len() });
+        }
+        for change in changes.iter().take(MAX_LOGGED_ENTRIES) {
+            let (event, id, mark) = match change {
+                LeavingChange::Begun(id, mark) => ("upstream-leaving", id, mark),
+                LeavingChange::Ended(id, mark) => ("upstream-left", id, mark),
+            };
+            spdlog::info!("{event}", kv: {
+                upstream: = id, source: = mark.source, age_ms: = now.since(mark.at).as_millis()
+            });
+        }
+    }
+
     /// Decides again whether this router reads the store. A booting router always does.
     fn update_role(&mut self, now: MonoTime) -> Option<StoreCommand> {
         if self.board.stage() == ForwardStage::Booting
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -12,9 +12,10 @@
 use crate::fleet::store_role::StoreReport;
 use crate::fleet::store_stamp::StoreStamp;
 use crate::fleet::store_view::{StoreChange, StoreItem};
-use crate::ids::{DataCenterTag, IncarnationId, PartTag};
+use crate::ids::{DataCenterTag, IncarnationId, PartTag, UpstreamStart};
 use crate::mono::MonoTime;
 use crate::policy::latest_loads::{MAX_HEARTBEAT_REPORTS, UpstreamLoad, UpstreamTag};
+use crate::policy::leaving_upstreams::LeavingReport;
 use crate::policy::part_reports::{CrashReport, PartReports, SoundReport};
 use crate::policy::rate_limits::RateReport;
 use crate::policy::suspect_parts::part_time;
@@ -258,6 +259,39 @@
     }
 }
 
+/// Upstreams that leave, in a heartbeat. Each has the same index in all columns.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeavingColumns {
+    /// The starts of the upstreams, see [`UpstreamStart`].
+    #[prost(fixed64, repeated, tag = "1")]
+    pub starts: Vec<u64>,
+    /// Times since the upstreams said so, in units of [`REPORT_AGE_MS`].
+    #[prost(uint32, repeated, tag = "2")]
+    pub ages: Vec<u32>,
+}
+
+impl LeavingColumns {
+    /// Converts reports to columns, with their ages at `now`.
+    pub fn new(reports: &[LeavingReport], now: MonoTime) -> Self {
+        Self {
+            starts: reports.iter().map(|report| report.upstream.0).collect(),
+            ages: reports
+                .iter()
+                .map(|report| age_of_time(report.at, now))
+                .collect(),
+        }
+    }
+
+    /// Converts the columns to reports, with times of the local clock, which is at `now`.
+    pub fn reports(&self, now: MonoTime) -> impl Iterator<Item = LeavingReport> {
+        let reports = self.starts.iter().zip(&self.ages);
+        reports.map(move |(&start, &age)| LeavingReport {
+            upstream: UpstreamStart(start),
+            at: time_of_age(age, now),
+        })
+    }
+}
+
 /// A heartbeat, sent as one UDP datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct HeartbeatFrame {
@@ -286,6 +320,9 @@
     /// Era of `store_revision`; zero in frames of earlier versions. It takes the place of a load.
     #[prost(uint64, tag = "8")]
     pub store_era: u64,
+    /// Upstreams that leave. They take no place of loads.
+    #[prost(message, optional, tag = "9")]
+    pub leaving: Option<LeavingColumns>,
 }
 
 impl HeartbeatFrame {
@@ -316,6 +353,11 @@
         StoreStamp::new(self.store_era, self.store_revision)
     }
 
+    /// Adds upstreams that leave.
+    pub fn set_leaving(&mut self, reports: &[LeavingReport], now: MonoTime) {
+        self.leaving = (!reports.is_empty()).then(|| LeavingColumns::new(reports, now));
+    }
+
     /// The sender's report of the store's newest state, if it has one.
     pub fn store_report(&self) -> Option<StoreReport> {
         self.store_age_ms.map(|age_ms| StoreReport {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,6 +9,7 @@
 pub mod engine_pool;
 pub mod fair_queue;
 pub mod latest_loads;
+pub mod leaving_upstreams;
 pub mod load_bound;
 pub mod locate_choice;
 pub mod part_history;
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -47,6 +47,8 @@
     pub upstreams_withheld: IntGauge,
     /// Number of upstreams that limit the rate of requests.
     pub upstreams_limited: IntGauge,
+    /// Number of registered upstreams that have said that they leave.
+    pub upstreams_leaving: IntGauge,
     /// Number of routers that are up.
     pub routers: IntGauge,
     /// Number of prompt parts whose calls are held back.
@@ -133,6 +135,10 @@
                 "upstreams_limited",
                 "Upstreams that limit the rate of requests",
             )?,
+            upstreams_leaving: gauge(
+                "upstreams_leaving",
+                "Registered upstreams that have said that they leave",
+            )?,
             routers: gauge("routers", "Routers that are up")?,
             parts_held: gauge("parts_held", "Prompt parts whose calls are held back")?,
             calls_open: gauge("calls_open", "Calls in progress")?,
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -8,9 +8,10 @@
 use hawthornrouter::dialect::LoadReport;
 use hawthornrouter::fleet::member_table::{GOSSIP_PERIOD, MemberRecord, MemberStage, MemberTable};
 use hawthornrouter::gossip::frames::{HeartbeatFrame, MemberColumns};
-use hawthornrouter::ids::{DataCenterTag, IncarnationId, PartTag};
+use hawthornrouter::ids::{DataCenterTag, IncarnationId, PartTag, UpstreamStart};
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::{LatestLoads, UpstreamLoad, UpstreamTag};
+use hawthornrouter::policy::leaving_upstreams::{LeavingReport, MARK_ROUNDS};
 use hawthornrouter::policy::part_reports::PartReports;
 use hawthornrouter::policy::rate_limits::{RateLimits, RateReport};
 use hawthornrouter::policy::suspect_parts::{SuspectParts, part_time};
@@ -242,6 +243,7 @@
             parts: None,
             rates: None,
             store_era: 1 << 20,
+            leaving: None,
         };
         let without_parts = {
             let mut frame = frame.clone();
@@ -267,7 +269,15 @@
         // Each round sends three heartbeats to members and sometimes one to a seed, with 28 bytes
         // of UDP and IP headers each.
         let rounds_per_second = 1.0 / GOSSIP_PERIOD.as_secs_f64();
-        let bytes = rounds_per_second * 3.25 * (length + 28) as f64;
+        // Some rounds also carry an upstream that leaves.
+        let leaving = LeavingReport {
+            upstream: UpstreamStart(u64::MAX),
+            at: fleet.now.saturating_sub(Duration::from_mins(4)),
+        };
+        let without_mark = frame.encoded_len();
+        frame.set_leaving(&[leaving], fleet.now);
+        let mark = (frame.encoded_len() - without_mark) as f64 / MARK_ROUNDS as f64;
+        let bytes = rounds_per_second * 3.25 * ((length + 28) as f64 + mark);
         assert!(bytes <= 5000.0, "{routers} routers: {bytes} B/s");
         println!(
             "{routers} routers: {} records, {bytes:.0} B/s",
--- a/tests/restored_view.rs
+++ b/tests/restored_view.rs
@@ -368,7 +368,7 @@
     let upstreams = view.upstreams();
     let starts: Vec<u64> = upstreams
         .iter()
-        .map(|entry| entry.start.expect("a start").0)
+        .map(|entry| entry.started.expect("a start").0)
         .collect();
     assert_eq!(starts, [200, 300]);
     assert!(!draining(&view, "b"));
