--- a/tests/odd_frames.rs
+++ b/tests/odd_frames.rs
@@ -14,12 +14,13 @@
 use hawthornrouter::fleet::store_stamp::StoreStamp;
 use hawthornrouter::fleet::store_view::{StoreChange, StoreView};
 use hawthornrouter::gossip::frames::{
-    DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame, LoadColumns, MemberColumns,
-    PartColumns, RateColumns,
+    DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame, LeavingColumns, LoadColumns,
+    MemberColumns, PartColumns, RateColumns,
 };
 use hawthornrouter::ids::{DataCenterTag, IncarnationId};
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::{LatestLoads, UpstreamLoad, UpstreamTag};
+use hawthornrouter::policy::leaving_upstreams::LeavingUpstreams;
 use hawthornrouter::policy::rate_limits::{FleetPlace, RateLimits};
 use hawthornrouter::policy::suspect_parts::{SuspectParts, part_time};
 use hawthornrouter::policy::upstream_stats::UpstreamStats;
@@ -94,14 +95,15 @@
         columns_u32(),
     );
     let rates = (columns_u32(), columns_u32(), columns_u32());
+    let leaving = (columns_u64(), columns_u32());
     let numbers = (
         extreme_u64(),
         extreme_u64(),
         prop::option::of(extreme_u64()),
         extreme_u64(),
     );
-    (members, loads, parts, rates, numbers).prop_map(|(members, loads, parts, rates, numbers)| {
-        HeartbeatFrame {
+    (members, loads, parts, rates, leaving, numbers).prop_map(
+        |(members, loads, parts, rates, leaving, numbers)| HeartbeatFrame {
             members: Some(MemberColumns {
                 addresses: members.0,
                 incarnations: members.1,
@@ -130,8 +132,12 @@
                 limits: rates.1,
                 ages: rates.2,
             }),
-        }
-    })
+            leaving: Some(LeavingColumns {
+                starts: leaving.0,
+                ages: leaving.1,
+            }),
+        },
+    )
 }
 
 /// What a router keeps of heartbeats.
@@ -140,6 +146,7 @@
     loads: LatestLoads,
     limits: RateLimits,
     parts: SuspectParts,
+    leaving: LeavingUpstreams,
     role: StoreRole,
     plan: FetchPlan,
 }
@@ -151,6 +158,7 @@
             loads: LatestLoads::default(),
             limits: RateLimits::default(),
             parts: SuspectParts::default(),
+            leaving: LeavingUpstreams::default(),
             role: StoreRole::new(Duration::from_secs(2)),
             plan: FetchPlan::default(),
         }
@@ -176,6 +184,9 @@
             let now = part_time(now);
             self.parts.merge(&parts.reports(now), now);
         }
+        for report in frame.leaving.iter().flat_map(|marks| marks.reports(now)) {
+            self.leaving.merge(report, sender.address, now);
+        }
         if let Some(report) = frame.store_report() {
             self.role
                 .record_report(report, StoreStamp::new(u64::MAX, u64::MAX), now);
@@ -226,6 +237,7 @@
             &self.limits.reports(rng),
             now,
         );
+        frame.set_leaving(&self.leaving.reports(3, rng), now);
         frame
     }
 }
