Send an outcome for requests that wait when the router stops

What callers saw: a request that an engine had run in part, and that was preempted before its first event, got 503 not_run ("stopping") when the drain limit passed, so that a caller would have repeated it. A queued request whose caller had received a comment ended without an event. Cause: the relay took a dropped reply of the control thread for a caller that is gone and sent nothing; the handler took no message for not_run. Change: a dropped reply is a refusal, which becomes unknown if an engine may have run the request. The handler no longer concludes not_run from a relay that ended without a message (no test reaches this branch).

--- a/src/entry/chat_handler.rs
+++ b/src/entry/chat_handler.rs
@@ -19,7 +19,7 @@
 use crate::register::AccountEntry;
 use crate::rules::WorkRank;
 use crate::upstream::EngineRequest;
-use crate::upstream::{RelayContext, RelayMessage, ResponseRelay, ping_comment};
+use crate::upstream::{RelayContext, RelayMessage, ResponseRelay, error_event, ping_comment};
 
 /// Request header with the id of the chat.
 const HEADER_CHAT: &str = "x-chat-id";
@@ -97,7 +97,8 @@
     let first = match timeout(ping, messages.recv()).await {
         Ok(Some(RelayMessage::Bytes(bytes))) => bytes,
         Ok(Some(RelayMessage::Refused(refusal))) => return refused(&refusal),
-        Ok(None) => return not_run(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        // A relay that ended without a message may have sent the request to an engine.
+        Ok(None) => error_event("unknown", "relay ended", 0),
         Err(_) => ping_comment(),
     };
     HttpResponse::Ok()
--- a/src/upstream/response_relay.rs
+++ b/src/upstream/response_relay.rs
@@ -27,6 +27,9 @@
 /// Maximum number of engines that one request is sent to, one after the other.
 const MAX_ENGINES: u32 = 3;
 
+/// Retry hint of the refusals that the relay itself makes.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// A message from a relay to the handler of the caller's connection.
 #[derive(Debug)]
 pub enum RelayMessage {
@@ -151,8 +154,7 @@
         deadline.since(self.context.clock.now())
     }
 
-    /// Queues the request and waits for an engine. Returns `None` when the caller disconnects
-    /// or the process is stopping.
+    /// Queues the request and waits for an engine. Returns `None` when the caller disconnects.
     async fn submit(&self) -> Option<WorkVerdict> {
         let (reply, verdict) = oneshot::channel();
         let work_request = WorkRequest {
@@ -186,7 +188,11 @@
             item: &self.item,
         };
         let verdict = tokio::select! {
-            verdict = verdict => verdict.ok(),
+            verdict = verdict => Some(verdict.unwrap_or(WorkVerdict::Refused(WorkRefusal {
+                // The reply is dropped unused when the control thread ends.
+                reason: RefusalReason::Draining,
+                retry_after: RETRY_AFTER,
+            }))),
             () = self.out.closed() => None,
         };
         if verdict.is_some() {
@@ -328,7 +334,7 @@
         }
         let refusal = WorkRefusal {
             reason: RefusalReason::NoUpstream,
-            retry_after: Duration::from_secs(1),
+            retry_after: RETRY_AFTER,
         };
         let _ = self.out.send(RelayMessage::Refused(refusal)).await;
     }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -23,7 +23,6 @@
 use hawthornrouter::settings::{
     AdminScope, AdminToken, LocatorSettings, LocatorTarget, PeerSeed, RouterSettings,
 };
-use hawthornrouter::units::TimeSpan;
 
 pub use plan::{FleetPlan, RelayedLink};
 
@@ -217,7 +216,7 @@
                 scopes: vec![AdminScope::Read, AdminScope::Drain],
             }],
             metrics: None,
-            drain_limit: TimeSpan::from_millis(60_000),
+            drain_limit: self.plan.drain_limit,
         }
     }
 
--- a/tests/fleet/plan.rs
+++ b/tests/fleet/plan.rs
@@ -14,6 +14,8 @@
     pub slots: u32,
     pub event_ms: u64,
     pub rules: RuleBook,
+    /// Longest time for which a drain waits for requests in progress.
+    pub drain_limit: TimeSpan,
     /// The link that passes through the relay; without one, no relay is started.
     pub relay: Option<RelayedLink>,
     /// Whether all routers but the first have an unreachable configuration service.
@@ -43,6 +45,7 @@
             slots: 8,
             event_ms: 1,
             rules,
+            drain_limit: TimeSpan::from_millis(60_000),
             relay: None,
             only_first_reaches_config: false,
         }
@@ -68,6 +71,11 @@
         self
     }
 
+    pub fn drain_limit(mut self, limit: TimeSpan) -> Self {
+        self.drain_limit = limit;
+        self
+    }
+
     pub fn relay(mut self, link: RelayedLink) -> Self {
         self.relay = Some(link);
         self
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -7,7 +7,7 @@
 
 use fleet::caller::{ChatRequest, ChatResponse};
 use fleet::{FleetPlan, TestFleet, wait_for};
-use futures_util::future::join_all;
+use futures_util::future::{join_all, select_all};
 use hawthornrouter::board::LifeStage;
 use hawthornrouter::client::ClientRequest;
 use hawthornrouter::units::TimeSpan;
@@ -204,3 +204,91 @@
     assert_eq!(check_refusals(&fleet, &[(request.note, response)]).await, 1);
     assert!(fleet.service_record().await.is_empty());
 }
+
+/// The router stops while a request that was preempted before its first event waits for its engine.
+#[ntex::test]
+async fn preempted_at_drain_limit() {
+    let plan = FleetPlan::new("preempted_at_drain_limit")
+        .routers(1)
+        .engines(1)
+        .slots(4)
+        .drain_limit(TimeSpan::from_millis(1))
+        .rules(|rules| rules.caller_ping = TimeSpan::from_millis(60_000));
+    let fleet = TestFleet::start(plan).await;
+    let held_chats = async |rank: &str, count: usize, running: u64| {
+        let requests = (0..count).map(|index| {
+            let (caller, entry) = (fleet.caller(), fleet.entry(0));
+            let note = format!("{rank}-{index}");
+            let request = ChatRequest::new(&note, 3)
+                .rank(rank)
+                .note(&note)
+                .fault(json!({"hold_at": 0}));
+            ntex::rt::spawn(async move { (note, caller.chat(entry, &request).await) })
+        });
+        let chats: Vec<_> = requests.collect();
+        fleet
+            .wait_status(0, "requests run", |status| status.running == running)
+            .await;
+        chats
+    };
+    let long = held_chats("long", 3, 3).await;
+    // The second quick request preempts a long one.
+    let mut chats = held_chats("quick", 2, 4).await;
+    chats.extend(long);
+    fleet
+        .wait_status(0, "long request waits", |status| status.waiting[2] == 1)
+        .await;
+    fleet.routers[0].process().terminate();
+    let (first, _, others) = select_all(chats).await;
+    let (note, response) = first.expect("caller");
+    assert!(note.starts_with("long"), "{note}: {response:?}");
+    assert!(response.has_error(), "{response:?}");
+    assert_eq!(check_refusals(&fleet, &[(note, response)]).await, 0);
+    fleet
+        .control(fleet.engines[0].address, "release", &())
+        .await;
+    for chat in others {
+        let (note, response) = chat.await.expect("caller");
+        assert!(response.is_complete(3), "{note}: {response:?}");
+    }
+}
+
+/// The router stops while a request is queued whose caller has received a comment.
+#[ntex::test]
+async fn queued_at_drain_limit() {
+    let plan = FleetPlan::new("queued_at_drain_limit")
+        .routers(1)
+        .engines(1)
+        .slots(1)
+        .drain_limit(TimeSpan::from_millis(1))
+        .rules(|rules| rules.caller_ping = TimeSpan::from_millis(50));
+    let fleet = TestFleet::start(plan).await;
+    let (caller, entry) = (fleet.caller(), fleet.entry(0));
+    let slot_caller = caller.clone();
+    let slot_chat = ntex::rt::spawn(async move {
+        let request = ChatRequest::new("holder", 3)
+            .rank("verdict")
+            .note("holder")
+            .fault(json!({"hold_at": 1}));
+        slot_caller.chat(entry, &request).await
+    });
+    fleet
+        .wait_status(0, "slot is taken", |status| status.running == 1)
+        .await;
+    let queued_chat = ntex::rt::spawn(async move {
+        let request = ChatRequest::new("queued", 3).rank("long").note("queued");
+        caller.chat(entry, &request).await
+    });
+    fleet
+        .wait_status(0, "request waits", |status| status.waiting[2] == 1)
+        .await;
+    fleet.routers[0].process().terminate();
+    let response = queued_chat.await.expect("caller");
+    assert!(response.is_not_run(), "{response:?}");
+    let responses = [("queued".to_owned(), response)];
+    assert_eq!(check_refusals(&fleet, &responses).await, 1);
+    fleet
+        .control(fleet.engines[0].address, "release", &())
+        .await;
+    assert!(slot_chat.await.expect("caller").is_complete(3));
+}
