Give each run of a request its own preemption signal

What callers would see: a long request whose engine failed just after it was to be preempted was preempted again at once by its next engine, although nobody waited: the run was cut and repeated, and the request was bound to that engine and queued for it. Cause: one signal served all attempts of a request, and a notification that the failed attempt had not taken stayed in it. Change: the control thread makes a signal for each run and sends it with the verdict; it drops it when the run ends.

--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,7 @@
 pub use config_controller::ConfigController;
 pub use control_loop::{ControlLoop, ControlParts};
 pub use event::{
-    CallPlan, CallReplySender, ControlEvent, ControlHandle, EngineProbe, ExplainRequest,
+    CallPlan, CallReplySender, ControlEvent, ControlHandle, EngineProbe, EngineRun, ExplainRequest,
     FetchedManifest, FetchedParts, ListedVm, ProbeTarget, RouteExplanation, TicketRequest,
     TicketedCall, VmListUpdate, WorkRequest, WorkVerdict,
 };
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -21,11 +21,18 @@
 use crate::policy::ticket_ledger::{CallRecord, MintRefusal};
 use crate::policy::work_item::WorkItem;
 
+/// One run of a request on an engine, where a slot is reserved for it.
+#[derive(Debug)]
+pub struct EngineRun {
+    pub engine: EngineKey,
+    /// Notified when this run is preempted: it has to release its slot to more urgent work.
+    pub preempt_signal: Arc<Notify>,
+}
+
 /// The scheduling decision for a model request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Debug)]
 pub enum WorkVerdict {
-    /// Run it on this engine, where a slot is reserved for it.
-    Run(EngineKey),
+    Run(EngineRun),
     /// It was refused and did not run.
     Refused(WorkRefusal),
 }
@@ -34,8 +41,6 @@
 #[derive(Debug)]
 pub struct WorkRequest {
     pub item: WorkItem,
-    /// Notified when the request is preempted: it has to release its slot to more urgent work.
-    pub preempt_signal: Arc<Notify>,
     pub reply: oneshot::Sender<WorkVerdict>,
 }
 
--- a/src/control/work_controller.rs
+++ b/src/control/work_controller.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::{Notify, oneshot};
 
-use crate::control::event::{WorkRequest, WorkVerdict};
+use crate::control::event::{EngineRun, WorkRequest, WorkVerdict};
 use crate::control::peer_controller::PeerController;
 use crate::ids::{AccountKey, EngineKey, RequestKey};
 use crate::mono::MonoTime;
@@ -24,7 +24,7 @@
     pub retries: RetryBudget,
     /// Channels for the verdicts on the waiting requests.
     replies: HashMap<RequestKey, oneshot::Sender<WorkVerdict>>,
-    /// Preemption signals of the waiting and running requests.
+    /// Preemption signals of the running requests, one for each run.
     preempt_signals: HashMap<RequestKey, Arc<Notify>>,
     /// Accounts of the waiting requests, without preempted ones.
     accounts: HashMap<RequestKey, AccountKey>,
@@ -44,17 +44,12 @@
 
     /// Queues a request, or refuses it at once.
     pub fn submit(&mut self, work_request: WorkRequest) {
-        let WorkRequest {
-            item,
-            preempt_signal,
-            reply,
-        } = work_request;
+        let WorkRequest { item, reply } = work_request;
         let (request, account) = (item.request, item.account);
         self.retries.deposit();
         match self.scheduler.offer(item) {
             Ok(()) => {
                 self.replies.insert(request, reply);
-                self.preempt_signals.insert(request, preempt_signal);
                 self.accounts.insert(request, account);
             }
             Err(refusal) => {
@@ -84,6 +79,7 @@
         reply: oneshot::Sender<WorkVerdict>,
         peers: &PeerController,
     ) {
+        self.preempt_signals.remove(&request);
         self.replies.insert(request, reply);
         if let Some(step) = self.scheduler.preempted(now, request) {
             self.carry_out_one(now, step, peers);
@@ -101,7 +97,6 @@
     /// Removes a waiting request whose caller disconnected.
     pub fn cancel(&mut self, request: RequestKey) {
         self.scheduler.cancel(request);
-        self.preempt_signals.remove(&request);
         self.replies.remove(&request);
         self.accounts.remove(&request);
     }
@@ -125,7 +120,6 @@
         match step {
             SchedulerStep::Run { item, engine } => self.send_run(now, item.request, engine, peers),
             SchedulerStep::Refuse { item, refusal } => {
-                self.preempt_signals.remove(&item.request);
                 if let Some(reply) = self.take_reply(item.request) {
                     let _ = reply.send(WorkVerdict::Refused(refusal));
                 }
@@ -163,10 +157,17 @@
         engine: EngineKey,
         peers: &PeerController,
     ) {
+        let preempt_signal = Arc::new(Notify::new());
+        let run = EngineRun {
+            engine,
+            preempt_signal: Arc::clone(&preempt_signal),
+        };
         let delivered = self
             .take_reply(request)
-            .is_some_and(|reply| reply.send(WorkVerdict::Run(engine)).is_ok());
-        if !delivered {
+            .is_some_and(|reply| reply.send(WorkVerdict::Run(run)).is_ok());
+        if delivered {
+            self.preempt_signals.insert(request, preempt_signal);
+        } else {
             // The caller disconnected before its request was assigned to the engine.
             self.finish(now, request, peers);
         }
--- a/src/upstream/response_relay.rs
+++ b/src/upstream/response_relay.rs
@@ -10,7 +10,7 @@
 
 use crate::board::ConfigSection;
 use crate::client::HttpClient;
-use crate::control::{ControlEvent, ControlHandle, WorkRequest, WorkVerdict};
+use crate::control::{ControlEvent, ControlHandle, EngineRun, WorkRequest, WorkVerdict};
 use crate::error::RouterError;
 use crate::ids::EngineKey;
 use crate::mono::{MonoTime, ProcessClock};
@@ -58,8 +58,6 @@
     request: EngineRequest,
     check: ResponseCheck,
     out: Sender<RelayMessage>,
-    /// Notified when the scheduler wants the slot for more urgent work.
-    preempt_signal: Arc<Notify>,
     /// Whether an engine may have received any byte of the request without refusing it.
     may_have_run: bool,
 }
@@ -96,7 +94,6 @@
             item,
             request,
             out,
-            preempt_signal: Arc::new(Notify::new()),
             may_have_run: false,
         }
     }
@@ -106,13 +103,13 @@
         let mut engines = 0;
         let mut verdict = self.submit().await;
         loop {
-            let engine = match verdict {
-                Some(WorkVerdict::Run(engine)) => engine,
+            let run = match verdict {
+                Some(WorkVerdict::Run(run)) => run,
                 Some(WorkVerdict::Refused(refusal)) => return self.send_refusal(refusal).await,
                 None => return,
             };
-            let slot = SlotGuard::new(&self.context.control, self.item.request, engine);
-            let outcome = self.run_on_engine(engine).await;
+            let slot = SlotGuard::new(&self.context.control, self.item.request, run.engine);
+            let outcome = self.run_on_engine(&run).await;
             if matches!(outcome, EngineOutcome::Preempted) {
                 slot.disarm();
                 verdict = self.yield_slot().await;
@@ -136,7 +133,7 @@
             if engines >= MAX_ENGINES || self.is_deadline_expired() || !self.may_retry().await {
                 return self.send_no_upstream(&error).await;
             }
-            self.item.avoid = Some(engine);
+            self.item.avoid = Some(run.engine);
             verdict = self.submit().await;
         }
     }
@@ -159,7 +156,6 @@
         let (reply, verdict) = oneshot::channel();
         let work_request = WorkRequest {
             item: self.item.clone(),
-            preempt_signal: Arc::clone(&self.preempt_signal),
             reply,
         };
         self.context
@@ -210,7 +206,8 @@
     }
 
     /// Relays the response of one engine, reconnecting to resume it after a failure.
-    async fn run_on_engine(&mut self, engine: EngineKey) -> EngineOutcome {
+    async fn run_on_engine(&mut self, run: &EngineRun) -> EngineOutcome {
+        let engine = run.engine;
         let Some(entry) = self.config.engines.get(&engine) else {
             let text = "engine is not in the configuration that this request uses";
             let error = RouterError::step_text(crate::error::StepName::Connect, engine, text);
@@ -234,7 +231,7 @@
             let error = match opened {
                 Ok(stream) => {
                     self.may_have_run = true;
-                    match self.relay_stream(stream).await {
+                    match self.relay_stream(stream, &run.preempt_signal).await {
                         Ok(outcome) => return outcome,
                         Err(error) => error,
                     }
@@ -267,13 +264,14 @@
     async fn relay_stream(
         &mut self,
         mut stream: EngineStream,
+        preempt_signal: &Notify,
     ) -> Result<EngineOutcome, RouterError> {
         let mut event_timeout = self.rule().first_event.0;
         loop {
             let event = tokio::select! {
                 event = stream.next(event_timeout.min(self.time_left())) => event?,
                 () = self.out.closed() => return Ok(EngineOutcome::CallerDisconnected),
-                () = self.preempt_signal.notified() => return Ok(EngineOutcome::Preempted),
+                () = preempt_signal.notified() => return Ok(EngineOutcome::Preempted),
             };
             match event {
                 EngineEvent::Content {
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -33,6 +33,8 @@
     stall_at: Option<u64>,
     /// Waits before the event of this number until a test calls `/control/release`.
     hold_at: Option<u64>,
+    /// Waits before the response head until a test calls `/control/release`.
+    hold_head: bool,
     /// Sends every event twice.
     repeat: bool,
     /// Sends an event of another request before each event of this one.
@@ -76,6 +78,18 @@
     name: String,
 }
 
+impl EngineState {
+    async fn wait_for_release(&self) {
+        loop {
+            let released = self.release.notified();
+            if *lock(&self.released) {
+                return;
+            }
+            released.await;
+        }
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -159,6 +173,9 @@
         priority: header("x-priority"),
         body: String::from_utf8_lossy(&body).into_owned(),
     });
+    if fault.hold_head {
+        state.wait_for_release().await;
+    }
     let response = StreamState {
         request: header("x-request-id"),
         next_event: resume_from,
@@ -217,7 +234,7 @@
             std::future::pending::<()>().await;
         }
         if this.fault.hold_at == Some(number) {
-            this.wait_for_release().await;
+            this.engine.wait_for_release().await;
         }
         tokio::time::sleep(this.engine.event_interval).await;
         if number >= this.events {
@@ -250,14 +267,4 @@
             pad = "x".repeat(self.fault.pad),
         )
     }
-
-    async fn wait_for_release(&self) {
-        loop {
-            let released = self.engine.release.notified();
-            if *lock(&self.engine.released) {
-                return;
-            }
-            released.await;
-        }
-    }
 }
