Credit the retry budget once a request

What operators would see: more retries than the rule retry_budget permits; each retry earned a share of the next one, and at 100 percent the budget never ran down. Cause: the control thread credited every submission, and a retry is submitted anew. Change: only a submission that no engine has failed is credited. Evidence: retry_budget retries_earn_no_retries failed before (3 retries of 2 requests at 50 percent, where 2 are due with the initial one); it passes after, as do not_run, preempted_work and complete_response.

--- a/src/control/work_controller.rs
+++ b/src/control/work_controller.rs
@@ -46,7 +46,9 @@
     pub fn submit(&mut self, work_request: WorkRequest) {
         let WorkRequest { item, reply } = work_request;
         let (request, account) = (item.request, item.account);
-        self.retries.deposit();
+        if !item.is_retry() {
+            self.retries.deposit();
+        }
         match self.scheduler.offer(item) {
             Ok(()) => {
                 self.replies.insert(request, reply);
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -6,7 +6,7 @@
 /// failures.
 const MAX_BALANCE: f64 = 10.0;
 
-/// A balance of retries. Each request adds a fraction of a retry to it.
+/// A balance of retries. Each request adds a fraction of a retry to it, once.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     share: ShareRatio,
@@ -25,7 +25,7 @@
         }
     }
 
-    /// Credits the budget for one request.
+    /// Credits the budget for one request, whose retries are not credited again.
     pub fn deposit(&mut self) {
         self.balance = (self.balance + self.share.get()).min(MAX_BALANCE);
     }
--- a/src/policy/work_item.rs
+++ b/src/policy/work_item.rs
@@ -34,3 +34,10 @@
     /// Total time in slots before the last preemption.
     pub served: Duration,
 }
+
+impl WorkItem {
+    /// Returns whether an engine has already failed the request.
+    pub fn is_retry(&self) -> bool {
+        self.avoid.is_some()
+    }
+}
