--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -4,8 +4,9 @@
 
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
-use http::{HeaderMap, Request};
+use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 
 use super::FrontCall;
 use super::stream_source::StreamSource;
@@ -81,42 +82,7 @@
             Err(_) if !connection.has_written() => return Err(AttemptFault::Unsent),
             Ok(Err(fault)) | Err(fault) => return Err(fault),
         };
-        let head = self
-            .state
-            .dialect
-            .read_response_head(response.status(), response.headers());
-        let repeatable = self.attempts.may_repeat() && self.state.affordable(&self.service);
-        let id_matches = head
-            .request_id
-            .as_ref()
-            .map(|id| *id == self.plan.head.request_id);
-        let origin = if is_spliced(&response) {
-            ResponseOrigin::Unproven
-        } else {
-            ResponseOrigin::new(id_matches, connection.is_first_call())
-        };
-        let summary = ResponseHeadSummary {
-            status: response.status().as_u16(),
-            encoded: response.headers().contains_key(CONTENT_ENCODING),
-            not_executed: head.not_executed,
-            stamped: head.stamped,
-            origin,
-            body: body_kind(response.headers()),
-            expected: if self.first_event.is_some() {
-                ExpectedBody::MoreEvents
-            } else {
-                ExpectedBody::Any
-            },
-        };
-        if summary.is_current() {
-            self.state.record_response_head(&guard.entry, &head);
-            self.state.record_statements(&guard.entry, &head);
-        }
-        if summary.origin == ResponseOrigin::Unproven {
-            let now = self.state.now();
-            self.state.pool.borrow_mut().distrust(guard.key, now);
-        }
-        check_response_head(summary, repeatable)?;
+        self.check_response(&guard, &connection, &response)?;
         let reuse = ConnectionReuse::from_response(&response, connection.has_written_all());
         let (parts, body) = response.into_parts();
         let mut source = StreamSource {
@@ -161,6 +127,52 @@
         }))
     }
 
+    /// Decides whether a response may go to the caller, and records what its head says about the
+    /// upstream.
+    fn check_response(
+        &self,
+        guard: &UpstreamGuard<D>,
+        connection: &HttpConnection,
+        response: &Response<Incoming>,
+    ) -> Result<(), AttemptFault> {
+        let head = self
+            .state
+            .dialect
+            .read_response_head(response.status(), response.headers());
+        let repeatable = self.attempts.may_repeat() && self.state.affordable(&self.service);
+        let id_matches = head
+            .request_id
+            .as_ref()
+            .map(|id| *id == self.plan.head.request_id);
+        let origin = if is_spliced(response) {
+            ResponseOrigin::Unproven
+        } else {
+            ResponseOrigin::new(id_matches, connection.is_first_call())
+        };
+        let summary = ResponseHeadSummary {
+            status: response.status().as_u16(),
+            encoded: response.headers().contains_key(CONTENT_ENCODING),
+            not_executed: head.not_executed,
+            stamped: head.stamped,
+            origin,
+            body: body_kind(response.headers()),
+            expected: if self.first_event.is_some() {
+                ExpectedBody::MoreEvents
+            } else {
+                ExpectedBody::Any
+            },
+        };
+        if summary.is_current() {
+            self.state.record_response_head(&guard.entry, &head);
+            self.state.record_statements(&guard.entry, &head);
+        }
+        if summary.origin == ResponseOrigin::Unproven {
+            let now = self.state.now();
+            self.state.pool.borrow_mut().distrust(guard.key, now);
+        }
+        check_response_head(summary, repeatable)
+    }
+
     /// Takes an idle connection to the upstream from the pool, or opens a new one. A call that may
     /// not be repeated takes only a recently used connection.
     async fn acquire_connection(
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -61,6 +61,7 @@
     }
 
     /// Returns the fault of an attempt that had returned events before.
+    #[must_use]
     pub fn after_events(self) -> Self {
         match self {
             Self::Silent => Self::Stalled,
