Let a scripted engine that crashes refuse connections before it breaks them

Its logs show calls that broke and whose upstream still accepted the router's check: the stand-in closed its sockets in the order of a hash map, so the listener could be the last. A process that ends closes it first; a check in between sees no crash.

--- a/standins/src/scripted_engine.rs
+++ b/standins/src/scripted_engine.rs
@@ -195,7 +195,10 @@
 
     fn crash(&self) {
         let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
-        for (_, socket) in sockets.drain() {
+        // The listener first: who sees a connection break must find that the engine is gone.
+        let listener = sockets.remove(&None);
+        let connections = sockets.drain().map(|(_, socket)| socket);
+        for socket in listener.into_iter().chain(connections) {
             // Fails if the caller has closed the connection already.
             let _ = socket.shutdown(Shutdown::Both);
         }
