--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -164,7 +164,6 @@
         };
         if summary.is_current() {
             self.state.record_response_head(&guard.entry, &head);
-            self.state.record_statements(&guard.entry, &head);
         }
         if summary.origin == ResponseOrigin::Unproven {
             let now = self.state.now();
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -276,7 +276,7 @@
         self.opening(entry) != UpstreamOpening::After(Duration::ZERO)
     }
 
-    /// Returns whether the upstream has said that it leaves.
+    /// Returns whether the upstream is draining or has said that it leaves.
     pub fn leaves(&self, entry: &UpstreamEntry) -> bool {
         self.opening(entry) == UpstreamOpening::Never
     }
@@ -418,10 +418,7 @@
     pub fn is_leaving(&self, upstream: UpstreamKey) -> bool {
         let upstreams = self.board.upstreams.load();
         let entry = upstreams.iter().find(|entry| entry.id.key() == upstream);
-        entry.is_none_or(|entry| {
-            entry.state == ServingState::Draining
-                || self.board.leaving_upstreams().contains(entry.start())
-        })
+        entry.is_none_or(|entry| self.leaves(entry))
     }
 
     /// Returns whether the upstream's latest load report, if still valid, shows queued calls.
@@ -452,7 +449,7 @@
             .record_activity(now);
     }
 
-    /// Records a response head from an upstream, and the load report in it.
+    /// Records a response head from an upstream, and what it says about the upstream.
     pub fn record_response_head(&self, entry: &UpstreamEntry, head: &ResponseHead) {
         let now = self.now();
         let upstream = entry.id.key();
@@ -476,10 +473,11 @@
                 at: now,
             });
         }
+        self.record_statements(entry, head);
     }
 
     /// Records what an upstream says of itself in a response.
-    pub fn record_statements(&self, entry: &UpstreamEntry, head: &ResponseHead) {
+    fn record_statements(&self, entry: &UpstreamEntry, head: &ResponseHead) {
         if head.leaving {
             let mut leaving = self.board.leaving_upstreams();
             leaving.record(entry.start(), self.now());
