Log responses that are not shown to belong to their call

A line foreign-response now gives the ids of the call and of the response, its status and the choice.

Measured: late_answers late_answer_in_log failed before (no such line within 30 s); all 14 tests of late_answers pass with the change. No decision changes.

--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -166,6 +166,11 @@
             self.state.record_response_head(&guard.entry, &head);
         }
         if summary.origin == ResponseOrigin::Unproven {
+            let response_id = head.request_id.as_deref().map(String::from_utf8_lossy);
+            spdlog::info!("foreign-response", kv: {
+                id: = self.request_id(), response_id: = response_id.as_deref().unwrap_or("none"),
+                status: = summary.status, choice: = self.choice_text()
+            });
             let now = self.state.now();
             self.state.pool.borrow_mut().distrust(guard.key, now);
         }
