Send streams with their length to callers without chunks

What callers saw: a caller of HTTP/1.0 on a streaming route got 'transfer-encoding: chunked', which its version doesn't have: the chunk sizes stood in its body ('15\r\nid: 0...'), and a stream that broke off ended with the connection, in order (FIN), like a whole one.

Cause: the HTTP library chunks every body of unknown length, whatever the version of the caller. Without chunks the end of the connection would be the end of the body, and RelayBody ends a broken stream by closing in order.

Change: a stream to a caller below HTTP/1.1 is read to its end, within the budget of buffered bodies, and sent with its length; if it breaks off, the caller gets 502 or 504. Such callers have their events late, but never a part of them that looks whole. Callers of HTTP/1.1 get chunks as before.

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -8,14 +8,14 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 
 use crate::dialect::{EdgeDialect, PromptPrefix};
 use crate::forward::choice_record::ChoiceRecord;
 use crate::forward::event_batch::EventBatch;
 use crate::forward::relay_progress::RelayProgress;
 use crate::forward::traffic_state::{TrafficState, UpstreamGuard};
-use crate::forward::upstream_response::{CallPlan, OpenStream, UpstreamResponse};
+use crate::forward::upstream_response::{CallPlan, FullResponse, OpenStream, UpstreamResponse};
 use crate::forward::wait_limits::WaitLimits;
 use crate::ids::{PartTag, ServiceId, UpstreamKey};
 use crate::mono::MonoTime;
@@ -179,6 +179,29 @@
         }
     }
 
+    /// Reads a stream to its end, as [`FrontCall::next_events`] does.
+    pub async fn collect_events(
+        &mut self,
+        mut stream: OpenStream<D>,
+    ) -> Result<FullResponse, CallFailure> {
+        let status = stream.status;
+        let headers = std::mem::take(&mut stream.headers);
+        let mut reservation = self.state.body_budget.open();
+        let mut body = BytesMut::new();
+        let mut source = Some(stream);
+        while let Some(events) = self.next_events(&mut source).await? {
+            if !reservation.grow_to(body.len() + events.len()) {
+                return Err(CallFailure::Unknown);
+            }
+            body.extend_from_slice(&events);
+        }
+        Ok(FullResponse {
+            status,
+            headers,
+            body: body.freeze(),
+        })
+    }
+
     /// Continues a stream at another upstream.
     async fn resume(&mut self) -> Result<OpenStream<D>, CallFailure> {
         match self.forward().await? {
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
-use ntex::http::{ConnectionType, Payload};
+use ntex::http::{ConnectionType, Payload, Version};
 use ntex::io::IoRef;
 use tokio::sync::mpsc::channel;
 
@@ -105,6 +105,15 @@
     }
 }
 
+/// The connection on which a call arrived.
+struct CallerConnection {
+    /// `None` if the connection is gone.
+    io: Option<IoRef>,
+    /// Whether the caller's version of HTTP has chunks. Without them, a stream that breaks off looks
+    /// complete.
+    has_chunks: bool,
+}
+
 /// Handles a request and returns the response, whose body may be a stream in progress.
 pub async fn handle_call<D: EdgeDialect>(
     state: Rc<TrafficState<D>>,
@@ -112,7 +121,10 @@
 ) -> FrontResponse {
     let open = OpenCallGuard::new(Rc::clone(&state));
     let began = state.now();
-    let caller = request.io().cloned();
+    let caller = CallerConnection {
+        io: request.io().cloned(),
+        has_chunks: request.version() >= Version::HTTP_11,
+    };
     let result = match admit(&state, &mut request, began).await {
         Ok(plan) => serve(&state, plan, caller, open).await,
         Err(refusal) => {
@@ -262,16 +274,23 @@
 async fn serve<D: EdgeDialect>(
     state: &Rc<TrafficState<D>>,
     plan: CallPlan,
-    caller: Option<IoRef>,
+    caller: CallerConnection,
     open: OpenCallGuard<D>,
 ) -> Result<FrontResponse, LocalResponse> {
     let mut call = FrontCall::new(Rc::clone(state), plan);
-    match call.forward().await {
-        Ok(UpstreamResponse::Full(response)) => {
+    let result = match call.forward().await {
+        Ok(UpstreamResponse::Full(response)) => Ok(response),
+        Ok(UpstreamResponse::Stream(stream)) if caller.has_chunks => {
+            return Ok(stream_response(call, *stream, caller.io, open));
+        }
+        Ok(UpstreamResponse::Stream(stream)) => call.collect_events(*stream).await,
+        Err(failure) => Err(failure),
+    };
+    match result {
+        Ok(response) => {
             call.finish("answered", response.status.as_u16());
             Ok(full_response(response))
         }
-        Ok(UpstreamResponse::Stream(stream)) => Ok(stream_response(call, *stream, caller, open)),
         Err(failure) => {
             let response = LocalResponse::from(failure);
             call.finish(failure_label(failure), response.status.as_u16());
