Treat an answer that ends behind its head as broken

The call was not repeated where it might have been. Only whole bodies were concerned: a stream without framing that ends before its first event counts as broken already.

Cause: such a body ends with its connection, so an engine that crashes between head and body looks like one with an empty body. Every other cut is reported as an error by the HTTP library.

Change: a success without length, chunks and any byte of a body is broken, except where no body can follow (204, HEAD). An upstream whose body is empty can say so with a length. The stamp decides nothing here: its content is the platform's, and it stands in the head, which is whole.

--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
@@ -111,6 +111,13 @@
             })));
         }
         let body = self.read_body(&mut source, limits).await?;
+        let ends_unmarked = self.plan.head.method != Method::HEAD
+            && parts.status != StatusCode::NO_CONTENT
+            && !is_framed(&parts.headers);
+        if body.is_empty() && parts.status.is_success() && ends_unmarked {
+            // A crash of the upstream between the head and the body looks the same.
+            return Err(AttemptFault::Broken);
+        }
         self.record_sound();
         if parts.status.is_server_error() {
             self.state.record_failure(
