Count an error that is passed on as a failure only

Calls that may not be repeated kept going to an upstream that answered each of them with 500.

Cause: a 5xx that goes to the caller was recorded as a failure of its upstream, and the release of its connection then recorded a success. The failure share rose by half of what it should and stayed at 0.47, so an upstream became suspect after eight failures in a row and not after four.

The release of a connection records nothing now. A response that was read to its end is recorded where its status is known: a success, or a failure from 500 on.

Test: failing_upstreams errors_passed_on. Failed before: the failing upstream of three got 8 calls in a row where 4 are due.

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -143,6 +143,7 @@
             if open.ended {
                 self.record_sound();
                 if let Some(open) = stream.take() {
+                    self.state.record_success(open.source.guard.key);
                     self.release(open.source);
                 }
                 return Ok(None);
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -125,6 +125,8 @@
                 AttemptFault::Failed(parts.status.as_u16()),
                 false,
             );
+        } else {
+            self.state.record_success(source.guard.key);
         }
         self.release(source);
         Ok(UpstreamResponse::Full(FullResponse {
@@ -372,8 +374,8 @@
         }
     }
 
-    /// Records the success of a response that was read to its end, and returns its connection to
-    /// the pool if it can be reused.
+    /// Returns the connection of a response that was read to its end to the pool if it can be
+    /// reused.
     pub(super) fn release(&self, source: StreamSource<D>) {
         let StreamSource {
             guard,
@@ -381,7 +383,6 @@
             reuse,
             ..
         } = source;
-        self.state.record_success(guard.key);
         if reuse.allowed && !self.state.leaves(&guard.entry) {
             let now = self.state.now();
             let mut pool = self.state.pool.borrow_mut();
