Don't count a client error as a failure of its upstream

A stream that is resumed can't go on with a 404 or another status below 500. Such an answer counted as a failure of the upstream that gave it, so a working upstream could be avoided for a client's error. The decision stood in the traffic state, where no test reached it.

UpstreamHealth::record_fault decides now, without a clock or a network. Statuses below 500 count as failures only if they are refusals (408, 429).

Test: upstream_health client_error_is_no_failure. Failed before (trial with the old decision in the new place): a 204 raised the failure share.

--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -535,12 +535,7 @@
             .inc();
         let mut upstream_stats = self.upstream_stats.borrow_mut();
         let health = &mut upstream_stats.entry(upstream).or_default().health;
-        match fault {
-            AttemptFault::Unreachable | AttemptFault::WrongInstance => health.mark_unreachable(now),
-            AttemptFault::Silent | AttemptFault::Stalled if silent => health.mark_unreachable(now),
-            AttemptFault::Unsent => {}
-            _ => health.record_failure(now),
-        }
+        health.record_fault(fault, silent, now);
         drop(upstream_stats);
         if matches!(fault, AttemptFault::Unreachable | AttemptFault::Silent) {
             self.pool.borrow_mut().close(upstream);
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -13,6 +13,9 @@
 /// failed one proves that the call did not run.
 const MAX_CONNECTS: u32 = 4;
 
+/// Statuses below 500 of an upstream that takes no calls now.
+const REFUSALS: [u16; 2] = [408, 429];
+
 /// What the attempts so far show about whether a call ran.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum RunVerdict {
@@ -60,6 +63,16 @@
         }
     }
 
+    /// Returns whether the fault counts against the upstream. A status below 500 answers the call,
+    /// unless it is a refusal, even if the caller can't be given it.
+    pub fn is_upstream_failure(self) -> bool {
+        match self {
+            Self::Unsent => false,
+            Self::Failed(status) => status >= 500 || REFUSALS.contains(&status),
+            _ => true,
+        }
+    }
+
     /// Returns the fault of an attempt that had returned events before.
     #[must_use]
     pub fn after_events(self) -> Self {
--- a/src/policy/upstream_health.rs
+++ b/src/policy/upstream_health.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::mono::MonoTime;
+use crate::policy::call_attempts::AttemptFault;
 
 /// First backoff after an upstream could not be reached.
 const MIN_BACKOFF: Duration = Duration::from_millis(250);
@@ -56,6 +57,17 @@
         self.last_failure = Some(now);
     }
 
+    /// Records a failed attempt. `silent` is true if the upstream sent nothing on any call since the
+    /// attempt began; after a timeout it then counts as unreachable.
+    pub fn record_fault(&mut self, fault: AttemptFault, silent: bool, now: MonoTime) {
+        match fault {
+            AttemptFault::Unreachable | AttemptFault::WrongInstance => self.mark_unreachable(now),
+            AttemptFault::Silent | AttemptFault::Stalled if silent => self.mark_unreachable(now),
+            _ if fault.is_upstream_failure() => self.record_failure(now),
+            _ => {}
+        }
+    }
+
     /// Records that no connection could be made, or that the upstream responds to nothing that is
     /// sent to it, and doubles the backoff.
     pub fn mark_unreachable(&mut self, now: MonoTime) {
--- a/tests/upstream_health.rs
+++ b/tests/upstream_health.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hawthornrouter::mono::MonoTime;
+use hawthornrouter::policy::call_attempts::AttemptFault;
 use hawthornrouter::policy::upstream_health::UpstreamHealth;
 
 fn at(millis: u64) -> MonoTime {
@@ -57,3 +58,18 @@
         "old failures still count"
     );
 }
+
+/// The caller's stream can't go on with such an answer, but the upstream works.
+#[test]
+fn client_error_is_no_failure() {
+    for status in [204, 301, 400, 404, 409] {
+        let mut health = UpstreamHealth::default();
+        health.record_fault(AttemptFault::Failed(status), false, at(0));
+        assert!(health.failure_share(at(0)) <= 0.0, "{status}");
+    }
+    for status in [408, 429, 500, 503] {
+        let mut health = UpstreamHealth::default();
+        health.record_fault(AttemptFault::Failed(status), false, at(0));
+        assert!(health.failure_share(at(0)) > 0.0, "{status}");
+    }
+}
