Take no body with a transfer encoding other than chunks

Callers got the coded bytes of a body with `Transfer-Encoding: gzip` as the body itself, since that header is not passed on, and an empty stream as a complete one when an upstream broke off before the first event.

Cause: the HTTP library decodes chunks only and reads any other coding until the connection ends, while the router took the presence of the header for a framing. The router never asks for a coding (RFC 9110 10.1.4), so only chunks alone can be right; everything else is an encoded body, like one with a content encoding: a malformed response.

Tests: upstream_responses other_transfer_encoding, unframed_streams other_transfer_encoding. Failed before: 200 where 502 is due, in both, at the first coding (gzip). Both pass now; chunks in upper and lower case still give 200.

--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -34,11 +34,23 @@
 /// Content type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// Whether the end of a body can be told without the end of its connection.
+/// Whether the end of a body that is not encoded can be told without the end of its connection.
 fn is_framed(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Whether a body has an encoding that the router never requests. The HTTP library decodes chunks
+/// and nothing else.
+fn is_encoded(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let has_chunks_alone = match (codings.next(), codings.next()) {
+        (None, _) => true,
+        (Some(coding), None) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        _ => false,
+    };
+    headers.contains_key(CONTENT_ENCODING) || !has_chunks_alone
+}
+
 /// Reads the kind of a body. Upstreams may leave the content type of streams out.
 fn body_kind(headers: &HeaderMap) -> BodyKind {
     let is_stream = headers.get(CONTENT_TYPE).is_none_or(|kind| {
@@ -160,7 +172,7 @@
         };
         let summary = ResponseHeadSummary {
             status: response.status().as_u16(),
-            encoded: response.headers().contains_key(CONTENT_ENCODING),
+            encoded: is_encoded(response.headers()),
             not_executed: head.not_executed,
             stamped: head.stamped,
             origin,
--- a/src/policy/response_head_check.rs
+++ b/src/policy/response_head_check.rs
@@ -61,7 +61,7 @@
 pub struct ResponseHeadSummary {
     /// HTTP status code.
     pub status: u16,
-    /// Whether the body has a content encoding, which the router never requests.
+    /// Whether the body has a content or transfer encoding that the router never requests.
     pub encoded: bool,
     /// Whether the upstream marked the call as not executed.
     pub not_executed: bool,
