Close connections after a response with a length and chunks

A response with both a length and chunks left its connection in use. If the upstream counts by the length, the next response does not begin where the chunks end.

Cause: the HTTP library reads the chunks, as RFC 9112 says, and drops the length, so the head that the router sees has one framing. The bytes of a response head are examined as they are read now, at most 18 of a line are kept, and a connection whose response had both is not used again. The body is passed on as before.

Tests: upstream_responses length_and_chunks_close, failed before: 1 connection for six calls where six are due. framing_scan covers each split of the bytes. chunks_alone_reuse passed before too: one connection without the fault serves six calls. On a broken copy that took interim responses for final ones framing_scan failed, and chunks_alone_reuse did not: it was not seen to fail.

--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -95,7 +95,7 @@
             Ok(Err(fault)) | Err(fault) => return Err(fault),
         };
         self.check_response(&guard, &connection, &response)?;
-        let reuse = ConnectionReuse::from_response(&response, connection.has_written_all());
+        let reuse = ConnectionReuse::from_response(&response, connection.can_continue());
         let (parts, body) = response.into_parts();
         let mut source = StreamSource {
             guard,
--- a/src/forward/http_connection.rs
+++ b/src/forward/http_connection.rs
@@ -26,6 +26,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::forward::framing_scan::FramingScan;
 use crate::policy::call_attempts::AttemptFault;
 
 /// Time without a TCP acknowledgement after which the kernel closes a connection
@@ -50,6 +51,10 @@
     flushed: AtomicBool,
     /// Bytes read since the latest request, response head or part of a body.
     unparsed: AtomicUsize,
+    /// Whether no byte of the response to the current request was read.
+    awaits_response: AtomicBool,
+    /// Whether the head of that response has both a length and a transfer encoding.
+    has_two_framings: AtomicBool,
 }
 
 impl SocketProgress {
@@ -66,6 +71,8 @@
     fn start_request(&self) {
         let written = self.written.load(Ordering::Relaxed);
         self.written_before.store(written, Ordering::Relaxed);
+        self.awaits_response.store(true, Ordering::Relaxed);
+        self.has_two_framings.store(false, Ordering::Relaxed);
         self.reset_unparsed();
     }
 
@@ -86,10 +93,28 @@
     }
 }
 
-/// A socket that counts the bytes written to it.
+/// A socket that counts the bytes written to it and examines the response heads read from it.
 struct CountingSocket {
     socket: TcpStream,
     progress: Arc<SocketProgress>,
+    /// Examines the response to the current request.
+    scan: FramingScan,
+}
+
+impl CountingSocket {
+    fn scan_response(&mut self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        if self.progress.awaits_response.swap(false, Ordering::Relaxed) {
+            self.scan = FramingScan::default();
+        }
+        if self.scan.push(bytes) {
+            self.progress
+                .has_two_framings
+                .store(true, Ordering::Relaxed);
+        }
+    }
 }
 
 impl AsyncRead for CountingSocket {
@@ -100,6 +125,7 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let result = Pin::new(&mut self.socket).poll_read(cx, buf);
+        self.scan_response(&buf.filled()[before..]);
         if !self.progress.count_read(buf.filled().len() - before) {
             let error = "1 MiB without a response head or a part of a body";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
@@ -191,6 +217,7 @@
         let socket = CountingSocket {
             socket,
             progress: Arc::clone(&progress),
+            scan: FramingScan::default(),
         };
         let (sender, connection) = Builder::new()
             .max_header_size(MAX_RESPONSE_HEAD_BYTES)
@@ -258,8 +285,14 @@
     }
 
     /// Returns whether the current request was written completely.
-    pub fn has_written_all(&self) -> bool {
+    fn has_written_all(&self) -> bool {
         self.progress.flushed.load(Ordering::Relaxed)
             && self.progress.request_bytes() > self.min_request_bytes
     }
+
+    /// Returns whether the connection may carry another call after the response to the current one:
+    /// the request was written completely, and the response has one end.
+    pub fn can_continue(&self) -> bool {
+        self.has_written_all() && !self.progress.has_two_framings.load(Ordering::Relaxed)
+    }
 }
--- a/src/forward/upstream_response.rs
+++ b/src/forward/upstream_response.rs
@@ -72,9 +72,9 @@
 }
 
 impl ConnectionReuse {
-    /// Reads the connection headers of a response. `has_written_all` tells whether the request had
-    /// been written completely; a connection with an unfinished request can't be reused.
-    pub fn from_response(response: &Response<Incoming>, has_written_all: bool) -> Self {
+    /// Reads the connection headers of a response. `can_continue` tells whether another call may
+    /// follow on the connection as far as its bytes show.
+    pub fn from_response(response: &Response<Incoming>, can_continue: bool) -> Self {
         let headers = response.headers();
         let closes = connection_options(headers)
             .iter()
@@ -90,7 +90,7 @@
             .and_then(|seconds| seconds.trim().parse().ok())
             .map(Duration::from_secs);
         Self {
-            allowed: has_written_all && !closes && response.version() == Version::HTTP_11,
+            allowed: can_continue && !closes && response.version() == Version::HTTP_11,
             idle_timeout,
         }
     }
