Ask an upstream again that was full long before

A stream ended for good although an upstream had room for it: the one that had refused the call, being full, when it began.

Cause: an upstream that provably did not run a call was excluded for the rest of the call. For a stream that is resumed after seconds, that says nothing any more. Exclusions have a time now, and a stream that is resumed forgets those of more than a second. Other calls are as before: after a proof they never go to the same upstream.

Tests: later_resumes full_upstream_has_room_again, failed before: one event and a broken stream after 2 requests, where three events and 3 requests are due. full_upstream_is_still_full passed before too, and failed on a broken copy without the second (3 requests where 2 are due).

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -20,6 +20,7 @@
 use crate::ids::{PartTag, ServiceId, UpstreamKey};
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
+use crate::policy::call_exclusions::CallExclusions;
 use crate::route::PriorityRank;
 
 /// A call in progress. Dropping it before [`FrontCall::finish`] logs that the caller left.
@@ -28,8 +29,9 @@
     plan: CallPlan,
     service: ServiceId,
     attempts: CallAttempts,
-    /// Upstreams that provably did not run the call. They are not chosen again.
-    excluded: Vec<UpstreamKey>,
+    /// Upstreams that provably did not run the call. Only a stream that is resumed later chooses them
+    /// again.
+    excluded: CallExclusions,
     /// Upstreams that may have run the call and failed. They are chosen again only if no other
     /// upstream is left.
     suspect: Vec<UpstreamKey>,
@@ -68,7 +70,7 @@
             service,
             state,
             plan,
-            excluded: Vec::new(),
+            excluded: CallExclusions::default(),
             suspect: Vec::new(),
             first_event: None,
             choice: None,
@@ -205,6 +207,7 @@
 
     /// Continues a stream at another upstream.
     async fn resume(&mut self) -> Result<OpenStream<D>, CallFailure> {
+        self.excluded.remove_expired(self.state.now());
         match self.forward().await? {
             UpstreamResponse::Stream(open) => Ok(*open),
             UpstreamResponse::Full(_) => Err(CallFailure::Unknown),
@@ -283,7 +286,7 @@
             &self.plan.table,
             &self.service,
             self.prompt,
-            &self.excluded,
+            &self.excluded.keys(),
             &self.suspect,
         )
     }
@@ -305,7 +308,9 @@
             // An idle connection that closed before the request was written does not show that
             // the upstream is faulty.
             AttemptFault::Unsent => {}
-            _ if fault.verdict() == RunVerdict::NotRun => self.excluded.push(key),
+            _ if fault.verdict() == RunVerdict::NotRun => {
+                self.excluded.insert(key, self.state.now());
+            }
             _ => self.suspect.push(key),
         }
         let in_time = self.in_time();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,6 +6,7 @@
 
 pub mod boot_refusal;
 pub mod call_attempts;
+pub mod call_exclusions;
 pub mod engine_pool;
 pub mod fair_queue;
 pub mod latest_loads;
