Don't continue a stream with events behind a gap

A stream that broke off after events 0 and 1 went on with events 3 and 4 of the next upstream, and looked complete to its caller.

Cause: the reader of a resumed stream asked only that ids rise. Where all ids that the caller has rise by one, the next one is known: the first event of the next upstream must have it, or events are missing or belong to another stream. Where ids are spaced, or only one is known, nothing shows which one is next, and the rule is as before.

Tests: foreign_bodies rest_with_gap, failed before: events 0, 1, 3, 4 and a complete end, where 0, 1 and a broken stream are due.

--- a/src/forward/event_batch.rs
+++ b/src/forward/event_batch.rs
@@ -2,6 +2,40 @@
 
 use bytes::Bytes;
 
+/// How event ids follow on each other.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum EventNumbering {
+    /// No id followed on another one.
+    #[default]
+    Unknown,
+    /// Each id was the one before plus one.
+    Consecutive,
+    /// An id was higher than that.
+    Spaced,
+}
+
+impl EventNumbering {
+    /// Returns the numbering after an id that follows on `last`, if any.
+    #[must_use]
+    pub fn after(self, last: Option<u64>, id: u64) -> Self {
+        match last {
+            None => self,
+            Some(last) if last.checked_add(1) == Some(id) => self.and(Self::Consecutive),
+            Some(_) => Self::Spaced,
+        }
+    }
+
+    /// Returns the numbering of two parts of a stream together.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Spaced, _) | (_, Self::Spaced) => Self::Spaced,
+            (Self::Unknown, Self::Unknown) => Self::Unknown,
+            _ => Self::Consecutive,
+        }
+    }
+}
+
 /// Complete events of one response, in order.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EventBatch {
@@ -12,6 +46,8 @@
     pub last_id: Option<u64>,
     /// Whether the last event has an id.
     pub is_numbered: bool,
+    /// How the ids follow on each other, and the first one on the id before the batch.
+    pub numbering: EventNumbering,
 }
 
 impl EventBatch {
--- a/src/forward/event_reader.rs
+++ b/src/forward/event_reader.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 
-use crate::forward::event_batch::EventBatch;
+use crate::forward::event_batch::{EventBatch, EventNumbering};
 use crate::policy::call_attempts::AttemptFault;
 
 /// Maximum event size: a body with a longer event is rejected as not being an event stream.
@@ -17,6 +17,8 @@
     last_id: Option<u64>,
     /// Whether events without ids are rejected.
     needs_ids: bool,
+    /// The id that the first event must have, if only one can be right.
+    next_id: Option<u64>,
 }
 
 impl EventReader {
@@ -30,10 +32,15 @@
     }
 
     /// Creates a reader of a response that continues a stream which another upstream began: every
-    /// event must have an id, since the caller might have one without id already.
-    pub fn continuing(last_id: Option<u64>) -> Self {
+    /// event must have an id, since the caller might have one without id already. If the ids so far
+    /// are consecutive, the first event must have the next one: a later one lacks events, or belongs
+    /// to another stream.
+    pub fn continuing(last_id: Option<u64>, numbering: EventNumbering) -> Self {
         Self {
             needs_ids: true,
+            next_id: last_id
+                .filter(|_| numbering == EventNumbering::Consecutive)
+                .map(|last_id| last_id.saturating_add(1)),
             ..Self::new(last_id)
         }
     }
@@ -43,8 +50,9 @@
         self.pending.len()
     }
 
-    /// Adds bytes and returns all complete events. Event ids that don't increase, a missing id that
-    /// is needed and an overlong event are an [`AttemptFault::BadAnswer`], after which the reader must not be used.
+    /// Adds bytes and returns all complete events. Event ids that don't increase, a first id that is
+    /// not the required one, a missing id that is needed and an overlong event are an
+    /// [`AttemptFault::BadAnswer`], after which the reader must not be used.
     pub fn push(&mut self, bytes: &[u8]) -> Result<EventBatch, AttemptFault> {
         self.pending.extend_from_slice(bytes);
         let mut batch = EventBatch::default();
@@ -54,9 +62,11 @@
             let id = event_id(event);
             let has_content = !is_comment(event);
             if let Some(id) = id {
-                if self.last_id.is_some_and(|last_id| id <= last_id) {
+                let is_old = self.last_id.is_some_and(|last_id| id <= last_id);
+                if is_old || self.next_id.take().is_some_and(|next_id| id != next_id) {
                     return Err(AttemptFault::BadAnswer);
                 }
+                batch.numbering = batch.numbering.after(self.last_id, id);
                 self.last_id = Some(id);
                 batch.last_id = Some(id);
             } else if has_content && self.needs_ids {
--- a/src/forward/relay_progress.rs
+++ b/src/forward/relay_progress.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use crate::forward::event_batch::EventBatch;
+use crate::forward::event_batch::{EventBatch, EventNumbering};
 use crate::forward::event_reader::EventReader;
 
 /// The events that went to the caller.
@@ -12,6 +12,8 @@
     event_count: u64,
     /// Whether the last event has an id.
     is_numbered: bool,
+    /// How the ids follow on each other, and the first one on that of an earlier call.
+    numbering: EventNumbering,
 }
 
 impl RelayProgress {
@@ -30,6 +32,7 @@
             self.last_id = batch.last_id.or(self.last_id);
             self.event_count += batch.event_count;
             self.is_numbered = batch.is_numbered;
+            self.numbering = self.numbering.and(batch.numbering);
         }
         batch.bytes
     }
@@ -58,7 +61,7 @@
     /// Creates the reader of the next attempt's response.
     pub fn next_reader(&self) -> EventReader {
         if self.has_begun() {
-            EventReader::continuing(self.last_id)
+            EventReader::continuing(self.last_id, self.numbering)
         } else {
             EventReader::new(self.last_id)
         }
