Name the whole call in the log line of a crash

Callers saw calls end with broken upstreams, and for a call without a shared prompt part no `upstream-crashed` line named the cause: record_crash returned at once. A request that crashes each upstream that runs it could not be found in the logs, because its repeats have new request ids.

CallHead::work_tag hashes method, host, path and query, client account and body, each with its length, so that repeats of the same work share a tag. Request ids, deadlines, keys, the last event and other headers are left out: they differ when the same work is sent again. The crash line carries it as `call=`, and calls without prompt parts are counted too.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
-use crate::ids::{AccountId, DataCenterId, PartTag, UpstreamId};
+use crate::ids::{AccountId, CallTag, DataCenterId, PartTag, UpstreamId};
 use crate::route::PriorityRank;
 use crate::units::{RequestRate, RetryDelay};
 
@@ -70,6 +70,28 @@
         self.prompt[..shared].iter().map(|part| PartTag(part.hash))
     }
 
+    /// The tag of the whole work of this call of `account`, whose complete body is `body`.
+    ///
+    /// It covers the method, host, path and query, the client account and the body. It leaves out
+    /// what differs when the same work is sent again: the request id, the deadline, the key (an
+    /// account may have several), the last event that the caller received and all other headers.
+    pub fn work_tag(&self, account: Option<&AccountId>, body: &[u8]) -> CallTag {
+        let fields = [
+            self.method.as_str().as_bytes(),
+            self.host.as_bytes(),
+            self.target.as_bytes(),
+            account.map_or(&b""[..], |account| account.as_str().as_bytes()),
+            body,
+        ];
+        let mut hasher = Xxh3::new();
+        for field in fields {
+            // The length keeps the end of one field and the start of the next apart.
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        CallTag(hasher.digest())
+    }
+
     /// The prefix of the prompt that other requests may share. It excludes the last part, which
     /// belongs to the request or its chat, unless that is the only part.
     pub fn shared_prefix(&self) -> Option<PromptPrefix> {
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -17,7 +17,7 @@
 use crate::forward::traffic_state::{TrafficState, UpstreamGuard};
 use crate::forward::upstream_response::{CallPlan, FullResponse, OpenStream, UpstreamResponse};
 use crate::forward::wait_limits::WaitLimits;
-use crate::ids::{PartTag, ServiceId, UpstreamKey};
+use crate::ids::{CallTag, PartTag, ServiceId, UpstreamKey};
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
 use crate::policy::call_exclusions::CallExclusions;
@@ -35,6 +35,8 @@
     /// Upstreams that may have run the call and failed. They are chosen again only if no other
     /// upstream is left.
     suspect: Vec<UpstreamKey>,
+    /// The whole work of the call.
+    tag: CallTag,
     /// The parts of the prompt that other requests share. `None` if the route's upstreams cache no
     /// prompts.
     prompt: Option<PromptPrefix>,
@@ -61,7 +63,9 @@
             .shared_prefix()
             .filter(|_| plan.route.cached_prompts);
         let parts = plan.head.shared_parts();
+        let account = plan.grant.as_ref().map(|grant| &grant.account);
         Self {
+            tag: plan.head.work_tag(account, &plan.body),
             parts: parts.filter(|_| prompt.is_some()).collect(),
             is_sound: false,
             prompt,
--- a/src/forward/front_call/crash_check.rs
+++ b/src/forward/front_call/crash_check.rs
@@ -20,10 +20,9 @@
     /// Records the crash of an upstream under this call, if the fault of the attempt is one. An
     /// upstream that only broke the connection still accepts others.
     ///
-    /// No crash is traced to a call whose answer was in progress, or whose prompt has no part that
-    /// others may share.
+    /// No crash is traced to a call whose answer was in progress.
     pub(super) async fn record_crash(&mut self, entry: &UpstreamEntry, fault: AttemptFault) {
-        if fault != AttemptFault::Broken || self.is_sound || self.parts.is_empty() {
+        if fault != AttemptFault::Broken || self.is_sound {
             return;
         }
         let broken_at = part_time(self.state.now());
@@ -37,7 +36,7 @@
         let parts: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
         spdlog::info!("upstream-crashed", kv: {
             id: = self.request_id(), upstream: = entry.id, service: = self.service,
-            parts: = parts.join(","), events: = self.progress.event_count()
+            call: = self.tag, parts: = parts.join(","), events: = self.progress.event_count()
         });
         let upstream = entry.id.key().into();
         let mut suspects = self.state.board.suspect_parts();
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -183,6 +183,27 @@
     }
 }
 
+/// Identifies the whole work of a call, see [`crate::dialect::CallHead::work_tag`]. A call that is
+/// sent again, by its caller or by a router, has the same tag.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct CallTag(pub u64);
+
+impl fmt::Display for CallTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for CallTag {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ValueError::new(text, "1 to 16 hexadecimal digits"))
+    }
+}
+
 /// The revision of a configuration; a higher one is newer.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
