--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -17,7 +17,7 @@
 use crate::forward::traffic_state::{TrafficState, UpstreamGuard};
 use crate::forward::upstream_response::{CallPlan, FullResponse, OpenStream, UpstreamResponse};
 use crate::forward::wait_limits::WaitLimits;
-use crate::ids::{CallTag, PartTag, ServiceId, UpstreamKey};
+use crate::ids::{CallTag, ServiceId, SuspectTag, UpstreamKey};
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
 use crate::policy::call_exclusions::CallExclusions;
@@ -40,8 +40,8 @@
     /// The parts of the prompt that other requests share. `None` if the route's upstreams cache no
     /// prompts.
     prompt: Option<PromptPrefix>,
-    /// The parts that make up `prompt`.
-    parts: Vec<PartTag>,
+    /// The work in the call that may crash upstreams: the parts that make up `prompt`.
+    suspects: Vec<SuspectTag>,
     /// Whether an upstream has answered beyond the first events, so that the prompt is known not to
     /// crash upstreams.
     is_sound: bool,
@@ -66,7 +66,10 @@
         let account = plan.grant.as_ref().map(|grant| &grant.account);
         Self {
             tag: plan.head.work_tag(account, &plan.body),
-            parts: parts.filter(|_| prompt.is_some()).collect(),
+            suspects: parts
+                .filter(|_| prompt.is_some())
+                .map(SuspectTag::Part)
+                .collect(),
             is_sound: false,
             prompt,
             attempts: CallAttempts::new(plan.route.kind, plan.route.max_attempts),
@@ -320,7 +323,7 @@
         let in_time = self.in_time();
         let affordable = self.state.affordable(&self.service)
             && self.progress.can_continue()
-            && self.state.board.suspect_parts().may_repeat(&self.parts);
+            && self.state.board.suspects().may_repeat(&self.suspects);
         let step = self.attempts.record_fault(fault, in_time, affordable);
         spdlog::info!("attempt-failed", kv: {
             id: = self.request_id(), fault: = fault.label(), code:? = fault,
--- a/src/forward/front_call/crash_check.rs
+++ b/src/forward/front_call/crash_check.rs
@@ -10,7 +10,7 @@
 use crate::dialect::EdgeDialect;
 use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::policy::call_attempts::{AttemptFault, CallFailure};
-use crate::policy::suspect_parts::{PartDecision, part_time};
+use crate::policy::suspect_work::{SuspectDecision, suspect_time};
 
 /// Timeout of the connection attempt after a broken call. A VM whose process has ended refuses
 /// within a round trip.
@@ -25,7 +25,7 @@
         if fault != AttemptFault::Broken || self.is_sound {
             return;
         }
-        let broken_at = part_time(self.state.now());
+        let broken_at = suspect_time(self.state.now());
         let connect = timeout(CHECK_TIMEOUT, TcpStream::connect(entry.address)).await;
         let refused =
             matches!(connect, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
@@ -33,41 +33,41 @@
             return;
         }
         self.state.telemetry.crashed_calls.inc();
-        let parts: Vec<String> = self.parts.iter().map(ToString::to_string).collect();
+        let parts: Vec<String> = self.suspects.iter().map(ToString::to_string).collect();
         spdlog::info!("upstream-crashed", kv: {
             id: = self.request_id(), upstream: = entry.id, service: = self.service,
             call: = self.tag, parts: = parts.join(","), events: = self.progress.event_count()
         });
         let upstream = entry.id.key().into();
-        let mut suspects = self.state.board.suspect_parts();
-        suspects.record_crash(&self.parts, upstream, broken_at);
+        let mut suspects = self.state.board.suspects();
+        suspects.record_crash(&self.suspects, upstream, broken_at);
     }
 
     /// Records that the answer goes on after its first events, or is complete.
     pub(super) fn record_sound(&mut self) {
-        if !std::mem::replace(&mut self.is_sound, true) && !self.parts.is_empty() {
-            let now = part_time(self.state.now());
-            let mut suspects = self.state.board.suspect_parts();
-            suspects.record_sound(&self.parts, now);
+        if !std::mem::replace(&mut self.is_sound, true) && !self.suspects.is_empty() {
+            let now = suspect_time(self.state.now());
+            let mut suspects = self.state.board.suspects();
+            suspects.record_sound(&self.suspects, now);
         }
     }
 
-    /// Returns the failure to report if a part of the prompt is held.
+    /// Returns the failure to report if a suspect of the call is held.
     pub(super) fn find_hold(&self) -> Option<CallFailure> {
-        let now = part_time(self.state.now());
-        match self.state.decide_parts(&self.parts, now) {
-            PartDecision::Send => None,
-            PartDecision::Trial(held) => {
-                spdlog::info!("part-trial", kv: {
-                    id: = self.request_id(), part: = held.part, crashes: = held.crashes,
+        let now = suspect_time(self.state.now());
+        match self.state.decide_suspects(&self.suspects, now) {
+            SuspectDecision::Send => None,
+            SuspectDecision::Trial(held) => {
+                spdlog::info!("suspect-trial", kv: {
+                    id: = self.request_id(), kind: = held.tag.kind(), tag: = held.tag, crashes: = held.crashes,
                     last_crash_ms: = now.since(held.last_crash).as_millis()
                 });
                 None
             }
-            PartDecision::Hold { held, retry_after } => {
+            SuspectDecision::Hold { held, retry_after } => {
                 if self.state.may_log_refusal() {
                     spdlog::info!("call-held", kv: {
-                        id: = self.request_id(), part: = held.part, crashes: = held.crashes,
+                        id: = self.request_id(), kind: = held.tag.kind(), tag: = held.tag, crashes: = held.crashes,
                         first_crash_ms: = now.since(held.first_crash).as_millis(),
                         last_crash_ms: = now.since(held.last_crash).as_millis(),
                         retry_after_ms: = retry_after.as_millis(),
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -18,7 +18,7 @@
 use crate::forward::body_budget::BodyBudget;
 use crate::forward::connection_pool::ConnectionPool;
 use crate::forward_board::ForwardBoard;
-use crate::ids::{PartTag, ServiceId, UpstreamKey};
+use crate::ids::{ServiceId, SuspectTag, UpstreamKey};
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::call_attempts::AttemptFault;
@@ -26,7 +26,7 @@
 use crate::policy::prompt_load::PromptLoad;
 use crate::policy::rate_limits::{FleetPlace, RateLimits};
 use crate::policy::retry_window::RetryWindow;
-use crate::policy::suspect_parts::PartDecision;
+use crate::policy::suspect_work::SuspectDecision;
 use crate::policy::upstream_choice::{
     Eligibility, SharedPart, UpstreamCandidate, choose_upstream, next_preferred,
 };
@@ -405,13 +405,13 @@
             .collect()
     }
 
-    /// Decides whether a call whose prompt has `parts` may be sent to an upstream.
-    pub fn decide_parts(&self, parts: &[PartTag], now: MonoTime) -> PartDecision {
+    /// Decides whether a call with `tags` may be sent to an upstream.
+    pub fn decide_suspects(&self, tags: &[SuspectTag], now: MonoTime) -> SuspectDecision {
         let own = self.board.settings.load().address;
         let routers = self.board.serving_routers.load();
         let addresses = routers.iter().map(|router| router.address);
-        let mut suspects = self.board.suspect_parts();
-        suspects.decide(parts, own, addresses, now)
+        let mut suspects = self.board.suspects();
+        suspects.decide(tags, own, addresses, now)
     }
 
     /// Returns whether the upstream is draining, has said that it leaves, or is no longer registered.
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -11,7 +11,7 @@
 use crate::policy::leaving_upstreams::LeavingUpstreams;
 use crate::policy::locate_choice::RouterPlace;
 use crate::policy::rate_limits::RateLimits;
-use crate::policy::suspect_parts::SuspectParts;
+use crate::policy::suspect_work::SuspectWork;
 use crate::route::RouteTable;
 
 /// Stage in the life cycle of a forwarding router.
@@ -60,7 +60,7 @@
     /// Calls in progress; written by the traffic thread.
     pub calls: AtomicUsize,
     load_reports: Mutex<LatestLoads>,
-    suspect_parts: Mutex<SuspectParts>,
+    suspects: Mutex<SuspectWork>,
     rate_limits: Mutex<RateLimits>,
     leaving_upstreams: Mutex<LeavingUpstreams>,
     stage: AtomicU8,
@@ -78,7 +78,7 @@
             store_known_ms: AtomicU64::new(0),
             calls: AtomicUsize::new(0),
             load_reports: Mutex::default(),
-            suspect_parts: Mutex::default(),
+            suspects: Mutex::default(),
             rate_limits: Mutex::default(),
             leaving_upstreams: Mutex::default(),
             stage: AtomicU8::new(ForwardStage::Booting as u8),
@@ -93,10 +93,8 @@
     }
 
     /// Locks the prompt parts that may crash upstreams. Both threads keep the lock only briefly.
-    pub fn suspect_parts(&self) -> MutexGuard<'_, SuspectParts> {
-        self.suspect_parts
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    pub fn suspects(&self) -> MutexGuard<'_, SuspectWork> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Locks the rate limits of upstreams. Both threads keep the lock only briefly.
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -19,11 +19,11 @@
 use crate::forward_control::SettingsSource;
 use crate::forward_control::store_task::{StoreCommand, StoreEvent};
 use crate::forward_settings::ForwardSettings;
-use crate::gossip::frames::{HeartbeatFrame, MemberColumns, PartColumns};
+use crate::gossip::frames::{HeartbeatFrame, MemberColumns, SuspectColumns};
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::leaving_upstreams::{LeavingChange, MARK_ROUNDS, MAX_NOTICE_MARKS};
 use crate::policy::locate_choice::RouterPlace;
-use crate::policy::suspect_parts::{PartChange, part_time};
+use crate::policy::suspect_work::{SuspectChange, suspect_time};
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
 
 /// Time between two ticks above which the process counts as paused: its cached state is then older
@@ -141,12 +141,12 @@
             }
         }
         let loads = self.board.load_reports().busiest(now);
-        let parts = self
+        let suspects = self
             .board
-            .suspect_parts()
-            .reports(part_time(now), &mut rand::rng());
+            .suspects()
+            .reports(suspect_time(now), &mut rand::rng());
         let rates = self.board.rate_limits().reports(&mut rand::rng());
-        frame.set_reports(loads, &parts, &rates, now);
+        frame.set_reports(loads, &suspects, &rates, now);
         let leaving = self.board.leaving_upstreams();
         frame.set_leaving(&leaving.reports(marks, &mut rand::rng()), now);
         frame
@@ -164,7 +164,7 @@
             store_revision: stamp.revision.0,
             loads: None,
             store_age_ms: age.map(|age| age.as_millis() as u64),
-            parts: None,
+            suspects: None,
             rates: None,
             store_era: stamp.era.0,
             leaving: None,
@@ -175,9 +175,9 @@
     /// to.
     pub fn take_notice(&mut self) -> Option<(Vec<u8>, Vec<SocketAddr>)> {
         let stamp = self.store_view.stamp();
-        let parts = self.board.suspect_parts().take_notice();
+        let suspects = self.board.suspects().take_notice();
         let leaving = self.board.leaving_upstreams().take_notice();
-        if stamp <= self.noticed && parts.is_empty() && leaving.is_empty() {
+        if stamp <= self.noticed && suspects.is_empty() && leaving.is_empty() {
             return None;
         }
         let now = self.now();
@@ -187,11 +187,11 @@
             self.noticed = stamp;
             targets = self.members.notice_targets(now, &mut rand::rng());
         }
-        if !parts.is_empty() {
-            frame.parts = Some(PartColumns::new(&parts, part_time(now)));
+        if !suspects.is_empty() {
+            frame.suspects = Some(SuspectColumns::new(&suspects, suspect_time(now)));
         }
         frame.set_leaving(&leaving, now);
-        if !parts.is_empty() || !leaving.is_empty() {
+        if !suspects.is_empty() || !leaving.is_empty() {
             targets.extend(self.members.any_targets(now, &mut rand::rng()));
         }
         let targets = targets
@@ -232,9 +232,9 @@
                 leaving.merge(report, sender.address, now);
             }
         }
-        let objections = frame.parts.as_ref().map(|parts| {
-            let reports = parts.reports(part_time(now));
-            self.board.suspect_parts().merge(&reports, part_time(now))
+        let objections = frame.suspects.as_ref().map(|columns| {
+            let reports = columns.reports(suspect_time(now));
+            self.board.suspects().merge(&reports, suspect_time(now))
         });
         if changed {
             spdlog::info!("member-changed", kv: {
@@ -252,7 +252,7 @@
         }
         let objections = objections.filter(|objections| !objections.is_empty())?;
         let mut reply = self.notice_frame(now);
-        reply.parts = Some(PartColumns::new(&objections, part_time(now)));
+        reply.suspects = Some(SuspectColumns::new(&objections, suspect_time(now)));
         Some(reply.encode_to_vec())
     }
 
@@ -399,7 +399,7 @@
         }
         let effect = self.store_view.tick(now);
         self.publish(effect);
-        self.update_suspect_parts(part_time(now));
+        self.update_suspects(suspect_time(now));
         self.update_leaving(now);
         let targets = self.members.begin_round(now, &mut rand::rng());
         self.publish_members(now);
@@ -422,22 +422,24 @@
         }
     }
 
-    /// Forgets old crashes and logs which prompt parts are held or released.
-    fn update_suspect_parts(&self, now: MonoTime) {
-        let mut suspects = self.board.suspect_parts();
+    /// Forgets old crashes and logs which suspects are held or released.
+    fn update_suspects(&self, now: MonoTime) {
+        let mut suspects = self.board.suspects();
         suspects.remove_expired(now);
         for change in suspects.take_changes(now) {
             match change {
-                PartChange::Held(held) => spdlog::warn!("part-held", kv: {
-                    part: = held.part, crashes: = held.crashes,
+                SuspectChange::Held(held) => spdlog::warn!("suspect-held", kv: {
+                    kind: = held.tag.kind(), tag: = held.tag, crashes: = held.crashes,
                     first_crash_ms: = now.since(held.first_crash).as_millis(),
                     last_crash_ms: = now.since(held.last_crash).as_millis(),
                     trial_in_ms: = held.until.since(now).as_millis()
                 }),
-                PartChange::Released(part) => spdlog::info!("part-released", kv: { part: = part }),
+                SuspectChange::Released(tag) => spdlog::info!("suspect-released", kv: {
+                    kind: = tag.kind(), tag: = tag
+                }),
             }
         }
-        set_count(&self.telemetry.parts_held, suspects.held(now).count());
+        set_count(&self.telemetry.suspects_held, suspects.held(now).count());
     }
 
     /// Forgets the marks of upstreams that are gone, and logs which upstreams leave or have left.
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -12,13 +12,13 @@
 use crate::fleet::store_role::StoreReport;
 use crate::fleet::store_stamp::StoreStamp;
 use crate::fleet::store_view::{StoreChange, StoreItem};
-use crate::ids::{DataCenterTag, IncarnationId, PartTag, UpstreamStart};
+use crate::ids::{CallTag, DataCenterTag, IncarnationId, PartTag, SuspectTag, UpstreamStart};
 use crate::mono::MonoTime;
 use crate::policy::latest_loads::{MAX_HEARTBEAT_REPORTS, UpstreamLoad, UpstreamTag};
 use crate::policy::leaving_upstreams::LeavingReport;
-use crate::policy::part_reports::{CrashReport, PartReports, SoundReport};
 use crate::policy::rate_limits::RateReport;
-use crate::policy::suspect_parts::part_time;
+use crate::policy::suspect_reports::{CrashReport, SoundReport, SuspectReports};
+use crate::policy::suspect_work::suspect_time;
 use crate::units::RequestRate;
 
 /// Membership records in a heartbeat. Each member has the same index in all columns.
@@ -127,9 +127,9 @@
     }
 }
 
-/// Number of loads that take as many bytes as one report about a prompt part. The columns of these
+/// Number of loads that take as many bytes as one report about a suspect. The columns of these
 /// reports take the bytes of one more load.
-const LOADS_PER_PART_REPORT: usize = 2;
+const LOADS_PER_SUSPECT_REPORT: usize = 2;
 
 /// Number of loads that take as many bytes as one rate limit; the columns of these take the bytes of
 /// one more load.
@@ -138,7 +138,7 @@
 /// Number of loads that take as many bytes as the era of the store, which most stores don't have.
 const LOADS_PER_ERA: usize = 1;
 
-/// Unit of the ages of reports about prompt parts and rate limits, in milliseconds.
+/// Unit of the ages of reports about suspects and rate limits, in milliseconds.
 const REPORT_AGE_MS: u64 = 10;
 
 fn age_of_time(at: MonoTime, now: MonoTime) -> u32 {
@@ -154,63 +154,104 @@
     now.saturating_sub(Duration::from_millis(REPORT_AGE_MS * u64::from(age)))
 }
 
-/// Reports about prompt parts in a heartbeat. Each report has the same index in all columns of its
+/// Kinds of suspects in [`SuspectColumns`].
+const PART_KIND: u32 = 0;
+const CALL_KIND: u32 = 1;
+
+/// Reports about suspects in a heartbeat. Each report has the same index in all columns of its
 /// kind.
 #[derive(Clone, PartialEq, Message)]
-pub struct PartColumns {
-    /// Ids of parts that were in a crash.
+pub struct SuspectColumns {
+    /// Hashes of suspects that were in a crash.
     #[prost(fixed64, repeated, tag = "1")]
-    pub crash_parts: Vec<u64>,
+    pub crash_tags: Vec<u64>,
     /// Shortened keys of the upstreams that crashed, see [`UpstreamTag`].
     #[prost(fixed32, repeated, tag = "2")]
     pub crash_upstreams: Vec<u32>,
     /// Times since the crashes, in units of [`REPORT_AGE_MS`].
     #[prost(uint32, repeated, tag = "3")]
     pub crash_ages: Vec<u32>,
-    /// Ids of parts that an upstream answered.
+    /// Hashes of suspects that an upstream answered.
     #[prost(fixed64, repeated, tag = "4")]
-    pub sound_parts: Vec<u64>,
+    pub sound_tags: Vec<u64>,
     /// Times since the answers, in units of [`REPORT_AGE_MS`].
     #[prost(uint32, repeated, tag = "5")]
     pub sound_ages: Vec<u32>,
+    /// Kinds of the suspects that were in a crash. Empty if all are parts, as in frames of earlier
+    /// versions.
+    #[prost(uint32, repeated, tag = "6")]
+    pub crash_kinds: Vec<u32>,
+    /// Kinds of the suspects that an upstream answered. Empty if all are parts.
+    #[prost(uint32, repeated, tag = "7")]
+    pub sound_kinds: Vec<u32>,
+}
+
+/// The column of the kinds of `tags`.
+fn kinds_of<I: Iterator<Item = SuspectTag>>(tags: I) -> Vec<u32> {
+    let kind = |tag| match tag {
+        SuspectTag::Part(_) => PART_KIND,
+        SuspectTag::Call(_) => CALL_KIND,
+    };
+    let kinds: Vec<u32> = tags.map(kind).collect();
+    if kinds.iter().all(|&kind| kind == PART_KIND) {
+        return Vec::new();
+    }
+    kinds
+}
+
+/// The suspect with this hash, whose kind has this index. `None` if the kind is unknown.
+fn suspect_of(hash: u64, kinds: &[u32], index: usize) -> Option<SuspectTag> {
+    match kinds.get(index).copied().unwrap_or(PART_KIND) {
+        PART_KIND => Some(SuspectTag::Part(PartTag(hash))),
+        CALL_KIND => Some(SuspectTag::Call(CallTag(hash))),
+        _ => None,
+    }
 }
 
-impl PartColumns {
-    /// Converts reports to columns, with their ages at `now`, a time of the clock of [`part_time`].
-    pub fn new(reports: &PartReports, now: MonoTime) -> Self {
+impl SuspectColumns {
+    /// Converts reports to columns, with their ages at `now`, a time of the clock of [`suspect_time`].
+    pub fn new(reports: &SuspectReports, now: MonoTime) -> Self {
         let (crashes, sound) = (&reports.crashes, &reports.sound);
         Self {
-            crash_parts: crashes.iter().map(|report| report.part.0).collect(),
+            crash_tags: crashes.iter().map(|report| report.tag.hash()).collect(),
             crash_upstreams: crashes.iter().map(|report| report.upstream.0).collect(),
             crash_ages: crashes
                 .iter()
                 .map(|report| age_of_time(report.at, now))
                 .collect(),
-            sound_parts: sound.iter().map(|report| report.part.0).collect(),
+            sound_tags: sound.iter().map(|report| report.tag.hash()).collect(),
             sound_ages: sound
                 .iter()
                 .map(|report| age_of_time(report.at, now))
                 .collect(),
+            crash_kinds: kinds_of(crashes.iter().map(|report| report.tag)),
+            sound_kinds: kinds_of(sound.iter().map(|report| report.tag)),
         }
     }
 
-    /// Converts the columns to reports, with times of the clock of [`part_time`], which is at `now`.
-    pub fn reports(&self, now: MonoTime) -> PartReports {
-        let crashes = self.crash_parts.iter().zip(&self.crash_upstreams);
-        let sound = self.sound_parts.iter().zip(&self.sound_ages);
-        PartReports {
+    /// Converts the columns to reports, with times of the clock of [`suspect_time`], which is at `now`.
+    pub fn reports(&self, now: MonoTime) -> SuspectReports {
+        let crashes = self.crash_tags.iter().zip(&self.crash_upstreams);
+        let sound = self.sound_tags.iter().zip(&self.sound_ages);
+        SuspectReports {
             crashes: crashes
                 .zip(&self.crash_ages)
-                .map(|((&part, &upstream), &age)| CrashReport {
-                    part: PartTag(part),
-                    upstream: UpstreamTag(upstream),
-                    at: time_of_age(age, now),
+                .enumerate()
+                .filter_map(|(index, ((&hash, &upstream), &age))| {
+                    Some(CrashReport {
+                        tag: suspect_of(hash, &self.crash_kinds, index)?,
+                        upstream: UpstreamTag(upstream),
+                        at: time_of_age(age, now),
+                    })
                 })
                 .collect(),
             sound: sound
-                .map(|(&part, &age)| SoundReport {
-                    part: PartTag(part),
-                    at: time_of_age(age, now),
+                .enumerate()
+                .filter_map(|(index, (&hash, &age))| {
+                    Some(SoundReport {
+                        tag: suspect_of(hash, &self.sound_kinds, index)?,
+                        at: time_of_age(age, now),
+                    })
                 })
                 .collect(),
         }
@@ -311,9 +352,9 @@
     /// sender doesn't know, or is of an earlier version.
     #[prost(uint64, optional, tag = "5")]
     pub store_age_ms: Option<u64>,
-    /// Reports about prompt parts that may crash upstreams. They take the place of loads.
+    /// Reports about work that may crash upstreams. They take the place of loads.
     #[prost(message, optional, tag = "6")]
-    pub parts: Option<PartColumns>,
+    pub suspects: Option<SuspectColumns>,
     /// Rate limits of upstreams. They take the place of loads.
     #[prost(message, optional, tag = "7")]
     pub rates: Option<RateColumns>,
@@ -326,19 +367,19 @@
 }
 
 impl HeartbeatFrame {
-    /// Adds the loads of the busiest upstreams, which come first in `loads`, reports about prompt
-    /// parts, and rate limits.
+    /// Adds the loads of the busiest upstreams, which come first in `loads`, reports about suspects,
+    /// and rate limits.
     pub fn set_reports(
         &mut self,
         mut loads: Vec<UpstreamLoad>,
-        parts: &PartReports,
+        suspects: &SuspectReports,
         rates: &[RateReport],
         now: MonoTime,
     ) {
         let mut displaced = if self.store_era > 0 { LOADS_PER_ERA } else { 0 };
-        if !parts.is_empty() {
-            displaced += 1 + LOADS_PER_PART_REPORT * parts.len();
-            self.parts = Some(PartColumns::new(parts, part_time(now)));
+        if !suspects.is_empty() {
+            displaced += 1 + LOADS_PER_SUSPECT_REPORT * suspects.len();
+            self.suspects = Some(SuspectColumns::new(suspects, suspect_time(now)));
         }
         if !rates.is_empty() {
             displaced += 1 + LOADS_PER_RATE_REPORT * rates.len();
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -204,6 +204,39 @@
     }
 }
 
+/// Identifies work that may crash upstreams.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum SuspectTag {
+    /// One whole call, each time that it is sent.
+    Call(CallTag),
+    /// All calls whose prompts have this part.
+    Part(PartTag),
+}
+
+impl SuspectTag {
+    /// The kind of the suspect, for log lines.
+    pub fn kind(self) -> &'static str {
+        match self {
+            Self::Call(_) => "call",
+            Self::Part(_) => "part",
+        }
+    }
+
+    /// The hash without the kind.
+    pub fn hash(self) -> u64 {
+        match self {
+            Self::Call(tag) => tag.0,
+            Self::Part(tag) => tag.0,
+        }
+    }
+}
+
+impl fmt::Display for SuspectTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.hash())
+    }
+}
+
 /// The revision of a configuration; a higher one is newer.
 #[derive(
     Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize,
--- a/src/policy/part_history.rs
+++ b/src/policy/suspect_history.rs
@@ -1,4 +1,4 @@
-//! The crashes and answers of one prompt part.
+//! The crashes and answers of one suspect, see [`crate::policy::suspect_work`].
 
 use std::time::Duration;
 
@@ -11,10 +11,10 @@
 /// Reports about one upstream within this time concern the same crash: no upstream restarts faster.
 const SAME_CRASH_TIME: Duration = Duration::from_millis(1500);
 
-/// An answer this long before a crash still shows that the part did not cause it.
+/// An answer this long before a crash still shows that the suspect did not cause it.
 const SOUND_MARGIN: Duration = Duration::from_secs(1);
 
-/// Number of crashes in memory. More would not prolong the hold of the part much.
+/// Number of crashes in memory. More would not prolong the hold of the suspect much.
 const MAX_CRASHES: usize = 8;
 
 /// The crash of an upstream.
@@ -32,23 +32,23 @@
     }
 }
 
-/// The crashes that one prompt part may have caused, and the latest answer to it.
+/// The crashes that one suspect may have caused, and the latest answer to it.
 #[derive(Clone, Debug, Default)]
-pub struct PartHistory {
+pub struct SuspectHistory {
     /// Crashes after the latest answer, in order of time.
     ///
     /// Invariant: at most [`MAX_CRASHES`], all later than `sound_at` + [`SOUND_MARGIN`].
     crashes: Vec<UpstreamCrash>,
     /// Time of the latest answer known.
     sound_at: Option<MonoTime>,
-    /// Time of the latest crash that was reported, whether or not an answer has cleared the part.
+    /// Time of the latest crash that was reported, whether or not an answer has cleared the suspect.
     last_report: MonoTime,
-    /// When other routers should hear of the part again: its history changed, or another router has
+    /// When other routers should hear of the suspect again: its history changed, or another router has
     /// not heard of the latest answer.
     news_at: MonoTime,
 }
 
-impl PartHistory {
+impl SuspectHistory {
     /// Crashes after the latest answer, in order of time.
     pub fn crashes(&self) -> &[UpstreamCrash] {
         &self.crashes
@@ -69,7 +69,7 @@
         self.news_at
     }
 
-    /// Adds a crash that was reported at `now`, unless it is known or the part was answered after
+    /// Adds a crash that was reported at `now`, unless it is known or the suspect was answered after
     /// it. Returns whether the history has changed.
     pub fn add_crash(&mut self, crash: UpstreamCrash, now: MonoTime) -> bool {
         self.last_report = self.last_report.max(crash.at);
@@ -97,7 +97,7 @@
         closest.map(|index| self.crashes.remove(index));
     }
 
-    /// Records an answer that was reported at `now` and clears the part of earlier crashes. Returns
+    /// Records an answer that was reported at `now` and clears the suspect of earlier crashes. Returns
     /// whether crashes were removed.
     pub fn record_sound(&mut self, at: MonoTime, now: MonoTime) -> bool {
         if self.sound_at.is_some_and(|known| known >= at) {
--- a/src/policy/part_reports.rs
+++ b/src/policy/suspect_reports.rs
@@ -1,35 +1,35 @@
-//! What routers tell each other about prompt parts: crashes of upstreams, and sound answers.
+//! What routers tell each other about suspects: crashes of upstreams, and sound answers.
 
-use crate::ids::PartTag;
+use crate::ids::SuspectTag;
 use crate::mono::MonoTime;
 use crate::policy::latest_loads::UpstreamTag;
 
-/// An upstream crashed before it answered a call whose prompt has this part.
+/// An upstream crashed before it answered a call that has this suspect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CrashReport {
-    pub part: PartTag,
+    pub tag: SuspectTag,
     /// The upstream that crashed.
     pub upstream: UpstreamTag,
     /// Time of the crash, on this router's clock.
     pub at: MonoTime,
 }
 
-/// An upstream answered a call whose prompt has this part.
+/// An upstream answered a call that has this suspect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SoundReport {
-    pub part: PartTag,
+    pub tag: SuspectTag,
     /// Time of the answer, on this router's clock.
     pub at: MonoTime,
 }
 
-/// The reports about prompt parts in one heartbeat.
+/// The reports about suspects in one heartbeat.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct PartReports {
+pub struct SuspectReports {
     pub crashes: Vec<CrashReport>,
     pub sound: Vec<SoundReport>,
 }
 
-impl PartReports {
+impl SuspectReports {
     /// Number of reports of both kinds.
     pub fn len(&self) -> usize {
         self.crashes.len() + self.sound.len()
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -53,8 +53,8 @@
     pub upstreams_waiting: IntGauge,
     /// Number of routers that are up.
     pub routers: IntGauge,
-    /// Number of prompt parts whose calls are held back.
-    pub parts_held: IntGauge,
+    /// Number of prompt parts and calls that are held back.
+    pub suspects_held: IntGauge,
     /// Number of calls in progress.
     pub calls_open: IntGauge,
     /// Number of idle connections to upstreams.
@@ -146,7 +146,7 @@
                 "Upstreams that have asked this router to wait",
             )?,
             routers: gauge("routers", "Routers that are up")?,
-            parts_held: gauge("parts_held", "Prompt parts whose calls are held back")?,
+            suspects_held: gauge("suspects_held", "Prompt parts and calls that are held back")?,
             calls_open: gauge("calls_open", "Calls in progress")?,
             idle_links: gauge("idle_links", "Idle connections to upstreams")?,
             registry,
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -8,13 +8,13 @@
 use hawthornrouter::dialect::LoadReport;
 use hawthornrouter::fleet::member_table::{GOSSIP_PERIOD, MemberRecord, MemberStage, MemberTable};
 use hawthornrouter::gossip::frames::{HeartbeatFrame, MemberColumns};
-use hawthornrouter::ids::{DataCenterTag, IncarnationId, PartTag, UpstreamStart};
+use hawthornrouter::ids::{DataCenterTag, IncarnationId, PartTag, SuspectTag, UpstreamStart};
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::{LatestLoads, UpstreamLoad, UpstreamTag};
 use hawthornrouter::policy::leaving_upstreams::{LeavingReport, MARK_ROUNDS};
-use hawthornrouter::policy::part_reports::PartReports;
 use hawthornrouter::policy::rate_limits::{RateLimits, RateReport};
-use hawthornrouter::policy::suspect_parts::{SuspectParts, part_time};
+use hawthornrouter::policy::suspect_reports::SuspectReports;
+use hawthornrouter::policy::suspect_work::{SuspectWork, suspect_time};
 use hawthornrouter::units::RequestRate;
 use prost::Message;
 use rand::{RngExt, SeedableRng};
@@ -223,14 +223,18 @@
                 at: fleet.now.saturating_sub(Duration::from_millis(500)),
             });
         }
-        let mut suspects = SuspectParts::default();
-        let now = part_time(fleet.now);
+        let mut suspects = SuspectWork::default();
+        let now = suspect_time(fleet.now);
         let recent = now.saturating_sub(Duration::from_secs(4));
         for number in 0..20 {
-            let parts = [PartTag(u64::MAX - number)];
+            let parts = [SuspectTag::Part(PartTag(u64::MAX - number))];
             suspects.record_crash(&parts, UpstreamTag(u32::MAX), recent);
-            suspects.record_crash(&[PartTag(number)], UpstreamTag(u32::MAX), recent);
-            suspects.record_sound(&[PartTag(number)], recent);
+            suspects.record_crash(
+                &[SuspectTag::Part(PartTag(number))],
+                UpstreamTag(u32::MAX),
+                recent,
+            );
+            suspects.record_sound(&[SuspectTag::Part(PartTag(number))], recent);
         }
         let parts = suspects.reports(now, &mut fleet.rng);
         assert_eq!((parts.crashes.len(), parts.sound.len()), (2, 2));
@@ -240,7 +244,7 @@
             store_revision: 1 << 40,
             loads: None,
             store_age_ms: Some(10_000),
-            parts: None,
+            suspects: None,
             rates: None,
             store_era: 1 << 20,
             leaving: None,
@@ -249,7 +253,7 @@
             let mut frame = frame.clone();
             frame.set_reports(
                 loads.busiest(fleet.now),
-                &PartReports::default(),
+                &SuspectReports::default(),
                 &[],
                 fleet.now,
             );
--- a/tests/odd_frames.rs
+++ b/tests/odd_frames.rs
@@ -15,14 +15,14 @@
 use hawthornrouter::fleet::store_view::{StoreChange, StoreView};
 use hawthornrouter::gossip::frames::{
     DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame, LeavingColumns, LoadColumns,
-    MemberColumns, PartColumns, RateColumns,
+    MemberColumns, RateColumns, SuspectColumns,
 };
 use hawthornrouter::ids::{DataCenterTag, IncarnationId};
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::{LatestLoads, UpstreamLoad, UpstreamTag};
 use hawthornrouter::policy::leaving_upstreams::LeavingUpstreams;
 use hawthornrouter::policy::rate_limits::{FleetPlace, RateLimits};
-use hawthornrouter::policy::suspect_parts::{SuspectParts, part_time};
+use hawthornrouter::policy::suspect_work::{SuspectWork, suspect_time};
 use hawthornrouter::policy::upstream_stats::UpstreamStats;
 use hawthornrouter::route::ConfigVersion;
 use hawthornrouter::units::{MAX_TIME_SPAN, TimeSpan};
@@ -87,12 +87,14 @@
 fn heartbeat() -> impl Strategy<Value = HeartbeatFrame> {
     let members = (columns_u32(), columns_u64(), columns_u32(), columns_u32());
     let loads = (columns_u32(), columns_u32(), columns_u32(), columns_u32());
-    let parts = (
+    let suspects = (
         columns_u64(),
         columns_u32(),
         columns_u32(),
         columns_u64(),
         columns_u32(),
+        columns_u32(),
+        columns_u32(),
     );
     let rates = (columns_u32(), columns_u32(), columns_u32());
     let leaving = (columns_u64(), columns_u32());
@@ -102,8 +104,8 @@
         prop::option::of(extreme_u64()),
         extreme_u64(),
     );
-    (members, loads, parts, rates, leaving, numbers).prop_map(
-        |(members, loads, parts, rates, leaving, numbers)| HeartbeatFrame {
+    (members, loads, suspects, rates, leaving, numbers).prop_map(
+        |(members, loads, suspects, rates, leaving, numbers)| HeartbeatFrame {
             members: Some(MemberColumns {
                 addresses: members.0,
                 incarnations: members.1,
@@ -120,12 +122,14 @@
                 ages: loads.3,
             }),
             store_age_ms: numbers.2,
-            parts: Some(PartColumns {
-                crash_parts: parts.0,
-                crash_upstreams: parts.1,
-                crash_ages: parts.2,
-                sound_parts: parts.3,
-                sound_ages: parts.4,
+            suspects: Some(SuspectColumns {
+                crash_tags: suspects.0,
+                crash_upstreams: suspects.1,
+                crash_ages: suspects.2,
+                sound_tags: suspects.3,
+                sound_ages: suspects.4,
+                crash_kinds: suspects.5,
+                sound_kinds: suspects.6,
             }),
             rates: Some(RateColumns {
                 tags: rates.0,
@@ -145,7 +149,7 @@
     members: MemberTable,
     loads: LatestLoads,
     limits: RateLimits,
-    parts: SuspectParts,
+    suspects: SuspectWork,
     leaving: LeavingUpstreams,
     role: StoreRole,
     plan: FetchPlan,
@@ -157,7 +161,7 @@
             members: MemberTable::new(OWN, Vec::new()),
             loads: LatestLoads::default(),
             limits: RateLimits::default(),
-            parts: SuspectParts::default(),
+            suspects: SuspectWork::default(),
             leaving: LeavingUpstreams::default(),
             role: StoreRole::new(Duration::from_secs(2)),
             plan: FetchPlan::default(),
@@ -180,9 +184,9 @@
         for report in frame.rates.iter().flat_map(|rates| rates.reports(now)) {
             self.limits.merge(report);
         }
-        if let Some(parts) = &frame.parts {
-            let now = part_time(now);
-            self.parts.merge(&parts.reports(now), now);
+        if let Some(columns) = &frame.suspects {
+            let now = suspect_time(now);
+            self.suspects.merge(&columns.reports(now), now);
         }
         for report in frame.leaving.iter().flat_map(|marks| marks.reports(now)) {
             self.leaving.merge(report, sender.address, now);
@@ -223,14 +227,14 @@
             self.limits.wait(UpstreamTag(tag), place, now);
             self.limits.count(UpstreamTag(tag), place, now);
         }
-        self.parts.remove_expired(part_time(now));
+        self.suspects.remove_expired(suspect_time(now));
         let mut frame = HeartbeatFrame::default();
         let mut columns = MemberColumns::default();
         for (record, age) in self.members.frame_records(now, rng) {
             columns.push(&record, age);
         }
         frame.members = Some(columns);
-        let parts = self.parts.reports(part_time(now), rng);
+        let parts = self.suspects.reports(suspect_time(now), rng);
         frame.set_reports(
             self.loads.busiest(now),
             &parts,
--- a/tests/part_fleet.rs
+++ b/tests/suspect_fleet.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use hawthornrouter::fleet::member_table::{GOSSIP_PERIOD, ROUND_FANOUT};
-use hawthornrouter::gossip::frames::PartColumns;
-use hawthornrouter::ids::PartTag;
+use hawthornrouter::gossip::frames::SuspectColumns;
+use hawthornrouter::ids::{PartTag, SuspectTag};
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::UpstreamTag;
-use hawthornrouter::policy::suspect_parts::{PartDecision, SuspectParts};
+use hawthornrouter::policy::suspect_work::{SuspectDecision, SuspectWork};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -23,7 +23,7 @@
 const FAULT_MS: u64 = 4000;
 const RESTART_MS: u64 = 3000;
 const MAX_ATTEMPTS: u32 = 2;
-const CRASHING_PART: PartTag = PartTag(0xdead);
+const CRASHING_PART: SuspectTag = SuspectTag::Part(PartTag(0xdead));
 
 /// Why upstreams fail.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug)]
 struct Call {
     router: usize,
-    parts: Vec<PartTag>,
+    parts: Vec<SuspectTag>,
     upstream: usize,
     attempts: u32,
     answers_at: u64,
@@ -72,7 +72,7 @@
     scene: Scene,
     rng: ChaCha8Rng,
     now_ms: u64,
-    routers: Vec<SuspectParts>,
+    routers: Vec<SuspectWork>,
     upstreams: Vec<Upstream>,
     next_tag: u32,
     open: Vec<Call>,
@@ -94,7 +94,7 @@
             scene,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now_ms: 0,
-            routers: vec![SuspectParts::default(); scene.routers],
+            routers: vec![SuspectWork::default(); scene.routers],
             upstreams: upstreams.collect(),
             next_tag: 1000,
             open: Vec::new(),
@@ -112,7 +112,7 @@
         while self.now_ms < until_ms {
             self.now_ms += STEP_MS;
             if self.scene.restart_ms == Some(self.now_ms) {
-                self.routers.fill(SuspectParts::default());
+                self.routers.fill(SuspectWork::default());
             }
             self.receive_calls();
             self.fail_upstreams();
@@ -124,10 +124,10 @@
 
     /// A part that many prompts begin with, one of 300 of uneven popularity and, in some calls, the
     /// crashing one.
-    fn draw_prompt(&mut self) -> Vec<PartTag> {
-        let first = PartTag(1 + self.rng.random_range(0..3));
+    fn draw_prompt(&mut self) -> Vec<SuspectTag> {
+        let first = SuspectTag::Part(PartTag(1 + self.rng.random_range(0..3)));
         let popularity: f64 = self.rng.random();
-        let second = PartTag(100 + (300.0 * popularity.powi(3)) as u64);
+        let second = SuspectTag::Part(PartTag(100 + (300.0 * popularity.powi(3)) as u64));
         let mut parts = vec![first, second];
         if let Cause::CrashingPart { share } = self.scene.cause
             && self.now_ms >= FAULT_MS
@@ -178,7 +178,7 @@
         let decision =
             self.routers[call.router].decide(&call.parts, address(call.router), addresses, time);
         let crashing = call.parts.contains(&CRASHING_PART);
-        if let PartDecision::Hold { .. } = decision {
+        if let SuspectDecision::Hold { .. } = decision {
             self.refused += usize::from(!crashing);
             return;
         }
@@ -279,7 +279,7 @@
             }
             self.routers[sender].remove_expired(time);
             let reports = self.routers[sender].reports(time, &mut self.rng);
-            let columns = PartColumns::new(&reports, time);
+            let columns = SuspectColumns::new(&reports, time);
             for _ in 0..ROUND_FANOUT {
                 let target = self.rng.random_range(0..self.scene.routers);
                 let is_heard = target != sender && !self.is_frozen(target);
@@ -301,7 +301,7 @@
             if notice.is_empty() {
                 continue;
             }
-            let columns = PartColumns::new(&notice, time);
+            let columns = SuspectColumns::new(&notice, time);
             for _ in 0..4 {
                 let target = self.rng.random_range(0..self.scene.routers);
                 let is_heard = target != sender && !self.is_frozen(target);
@@ -320,7 +320,7 @@
     fn wrongly_held(&self) -> usize {
         let time = self.time();
         let held = self.routers.iter().flat_map(|router| router.held(time));
-        held.filter(|held| held.part != CRASHING_PART).count()
+        held.filter(|held| held.tag != CRASHING_PART).count()
     }
 
     fn late_arrivals(&self) -> usize {
--- a/tests/suspect_parts.rs
+++ b/tests/suspect_work.rs
@@ -4,18 +4,22 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use hawthornrouter::ids::PartTag;
+use hawthornrouter::ids::{PartTag, SuspectTag};
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::UpstreamTag;
-use hawthornrouter::policy::part_reports::{CrashReport, PartReports, SoundReport};
-use hawthornrouter::policy::suspect_parts::{PartChange, PartDecision, SuspectParts};
+use hawthornrouter::policy::suspect_reports::{CrashReport, SoundReport, SuspectReports};
+use hawthornrouter::policy::suspect_work::{SuspectChange, SuspectDecision, SuspectWork};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-const SHARED: PartTag = PartTag(1);
-const OTHER: PartTag = PartTag(2);
-const BAD: PartTag = PartTag(0xdead);
+const SHARED: SuspectTag = SuspectTag::Part(PartTag(1));
+const OTHER: SuspectTag = SuspectTag::Part(PartTag(2));
+const BAD: SuspectTag = SuspectTag::Part(PartTag(0xdead));
+
+fn part_tag(hash: u64) -> SuspectTag {
+    SuspectTag::Part(PartTag(hash))
+}
 
 fn at(ms: u64) -> MonoTime {
     MonoTime(Duration::from_millis(1_000_000 + ms))
@@ -26,19 +30,19 @@
 }
 
 /// Decides about a call at the only router of a fleet.
-fn decide(suspects: &mut SuspectParts, parts: &[PartTag], ms: u64) -> PartDecision {
+fn decide(suspects: &mut SuspectWork, parts: &[SuspectTag], ms: u64) -> SuspectDecision {
     suspects.decide(parts, router(1), [router(1)].into_iter(), at(ms))
 }
 
-fn is_held(suspects: &mut SuspectParts, part: PartTag, ms: u64) -> bool {
+fn is_held(suspects: &mut SuspectWork, tag: SuspectTag, ms: u64) -> bool {
     matches!(
-        decide(suspects, &[part], ms),
-        PartDecision::Hold { .. } | PartDecision::Trial(_)
+        decide(suspects, &[tag], ms),
+        SuspectDecision::Hold { .. } | SuspectDecision::Trial(_)
     )
 }
 
 /// Crashes of `count` upstreams under calls with `parts`, half a second apart.
-fn crash(suspects: &mut SuspectParts, parts: &[PartTag], count: u32, from_ms: u64) {
+fn crash(suspects: &mut SuspectWork, parts: &[SuspectTag], count: u32, from_ms: u64) {
     for number in 0..count {
         let ms = from_ms + 500 * u64::from(number);
         suspects.record_crash(parts, UpstreamTag(from_ms as u32 + number), at(ms));
@@ -48,13 +52,13 @@
 proptest! {
     #[test]
     fn part_at_any_position_is_held(count in 1u64..10, position in 0usize..10) {
-        let mut parts: Vec<PartTag> = (1..=count).map(PartTag).collect();
-        let mut suspects = SuspectParts::default();
+        let mut parts: Vec<SuspectTag> = (1..=count).map(part_tag).collect();
+        let mut suspects = SuspectWork::default();
         suspects.record_sound(&parts, at(0));
         parts.insert(position.min(parts.len()), BAD);
         crash(&mut suspects, &parts, 3, 2000);
         prop_assert!(is_held(&mut suspects, BAD, 3501));
-        for part in (1..=count).map(PartTag) {
+        for part in (1..=count).map(part_tag) {
             prop_assert!(!is_held(&mut suspects, part, 3501), "{part} is held");
         }
     }
@@ -62,8 +66,8 @@
 
 #[test]
 fn two_crashing_parts() {
-    let second = PartTag(0xbad);
-    let mut suspects = SuspectParts::default();
+    let second = part_tag(0xbad);
+    let mut suspects = SuspectWork::default();
     suspects.record_sound(&[SHARED], at(0));
     crash(&mut suspects, &[SHARED, BAD], 3, 2000);
     crash(&mut suspects, &[SHARED, second], 3, 2250);
@@ -74,7 +78,7 @@
 
 #[test]
 fn part_that_was_sound_before() {
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     suspects.record_sound(&[BAD], at(0));
     crash(&mut suspects, &[BAD], 5, 200);
     assert!(is_held(&mut suspects, BAD, 2800));
@@ -84,7 +88,7 @@
 fn answers_clear_parts() {
     // Just before the last crash, beside it, and after it.
     for sound_ms in [2200, 3000, 3600] {
-        let mut suspects = SuspectParts::default();
+        let mut suspects = SuspectWork::default();
         for (ms, upstream) in [(2000, 1), (2500, 2), (3000, 3)] {
             if sound_ms <= ms {
                 suspects.record_sound(&[SHARED], at(sound_ms));
@@ -99,7 +103,7 @@
 #[test]
 fn calls_beside_crashing_part() {
     // Calls with `OTHER` were at each crashed upstream too, but not in every crash.
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     for number in 0..5 {
         let ms = 2000 + 500 * u64::from(number);
         suspects.record_crash(&[BAD], UpstreamTag(number), at(ms));
@@ -113,7 +117,7 @@
 
 #[test]
 fn upstreams_that_fail_together() {
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     for number in 0..40 {
         let ms = 2000 + 5 * u64::from(number);
         suspects.record_crash(&[SHARED, OTHER], UpstreamTag(number), at(ms));
@@ -125,7 +129,7 @@
 #[test]
 fn one_crash_seen_by_many() {
     // Several calls of one upstream, and the same crash as other routers saw it.
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     for ms in [2000, 2001, 2400, 2800, 3300] {
         suspects.record_crash(&[OTHER], UpstreamTag(7), at(ms));
     }
@@ -136,25 +140,26 @@
 fn hold_doubles_after_failed_trial() {
     // Crashes before the hold do not prolong it.
     for crashes in [3, 6, 20] {
-        let mut suspects = SuspectParts::default();
+        let mut suspects = SuspectWork::default();
         crash(&mut suspects, &[BAD], crashes, 0);
         let last_ms = 500 * u64::from(crashes - 1);
-        let PartDecision::Hold { held, retry_after } =
+        let SuspectDecision::Hold { held, retry_after } =
             decide(&mut suspects, &[SHARED, BAD], last_ms + 1000)
         else {
             panic!("not held");
         };
-        assert_eq!((held.part, held.crashes), (BAD, crashes.min(8) as usize));
+        assert_eq!((held.tag, held.crashes), (BAD, crashes.min(8) as usize));
         assert_eq!(retry_after, Duration::from_secs(59));
         let trial_ms = last_ms + 61_000;
-        let PartDecision::Trial(_) = decide(&mut suspects, &[BAD], trial_ms) else {
+        let SuspectDecision::Trial(_) = decide(&mut suspects, &[BAD], trial_ms) else {
             panic!("no trial");
         };
         // Only one call is sent.
         let second = decide(&mut suspects, &[BAD], trial_ms + 10);
-        assert!(matches!(second, PartDecision::Hold { .. }), "{second:?}");
+        assert!(matches!(second, SuspectDecision::Hold { .. }), "{second:?}");
         suspects.record_crash(&[BAD], UpstreamTag(99_999), at(trial_ms + 100));
-        let PartDecision::Hold { retry_after, .. } = decide(&mut suspects, &[BAD], trial_ms + 100)
+        let SuspectDecision::Hold { retry_after, .. } =
+            decide(&mut suspects, &[BAD], trial_ms + 100)
         else {
             panic!("not held");
         };
@@ -164,7 +169,7 @@
 
 #[test]
 fn second_appearance_after_quiet_minute() {
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     crash(&mut suspects, &[BAD], 5, 0);
     for minute in 1..10 {
         suspects.remove_expired(at(60_000 * minute));
@@ -172,26 +177,26 @@
     // One trial of the whole fleet is due, and nothing more.
     let sent = (0..100).filter(|call| {
         let decision = decide(&mut suspects, &[BAD], 600_000 + call);
-        !matches!(decision, PartDecision::Hold { .. })
+        !matches!(decision, SuspectDecision::Hold { .. })
     });
     assert_eq!(sent.count(), 1);
 }
 
 #[test]
 fn answered_trial_ends_hold() {
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     crash(&mut suspects, &[BAD], 3, 0);
     let changes = suspects.take_changes(at(60_000));
-    assert!(matches!(changes[..], [PartChange::Held(held)] if held.part == BAD));
+    assert!(matches!(changes[..], [SuspectChange::Held(held)] if held.tag == BAD));
     suspects.record_sound(&[BAD], at(70_000));
-    assert_eq!(decide(&mut suspects, &[BAD], 70_001), PartDecision::Send);
+    assert_eq!(decide(&mut suspects, &[BAD], 70_001), SuspectDecision::Send);
     let changes = suspects.take_changes(at(70_001));
-    assert_eq!(changes, [PartChange::Released(BAD)]);
+    assert_eq!(changes, [SuspectChange::Released(BAD)]);
 }
 
 #[test]
 fn one_router_tries() {
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     crash(&mut suspects, &[BAD], 3, 0);
     for minute in 0..5 {
         let ms = 61_500 + 60_000 * minute;
@@ -200,7 +205,7 @@
             let decision = suspects
                 .clone()
                 .decide(&[BAD], router(index), routers, at(ms));
-            matches!(decision, PartDecision::Trial(_))
+            matches!(decision, SuspectDecision::Trial(_))
         });
         assert_eq!(trials.count(), 1, "minute {minute}");
     }
@@ -208,7 +213,7 @@
 
 #[test]
 fn call_of_second_crash_is_not_repeated() {
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     let parts = [SHARED, BAD];
     crash(&mut suspects, &parts, 1, 0);
     assert!(suspects.may_repeat(&parts));
@@ -219,7 +224,7 @@
 
 #[test]
 fn old_reports_do_not_revive_hold() {
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     crash(&mut suspects, &[BAD], 3, 0);
     let stale = suspects.clone();
     suspects.record_sound(&[BAD], at(5000));
@@ -233,23 +238,23 @@
 
 #[test]
 fn reports_of_others_count() {
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     let report = |upstream, ms| CrashReport {
-        part: BAD,
+        tag: BAD,
         upstream: UpstreamTag(upstream),
         at: at(ms),
     };
-    let crashes = PartReports {
+    let crashes = SuspectReports {
         crashes: vec![report(1, 0), report(2, 500), report(3, 1000)],
         sound: Vec::new(),
     };
     suspects.merge(&crashes, at(1200));
     assert!(!is_held(&mut suspects, BAD, 1600), "no time to object");
     assert!(is_held(&mut suspects, BAD, 1700));
-    let sound = PartReports {
+    let sound = SuspectReports {
         crashes: Vec::new(),
         sound: vec![SoundReport {
-            part: BAD,
+            tag: BAD,
             at: at(1100),
         }],
     };
@@ -257,16 +262,16 @@
     assert!(!is_held(&mut suspects, BAD, 1800));
 }
 
-/// Memory of [`SuspectParts`] is at most 4,096 parts with crashes and 16,384 that were answered.
+/// Memory of [`SuspectWork`] is at most 4,096 parts with crashes and 16,384 that were answered.
 #[test]
 fn memory_is_bounded() {
-    let mut suspects = SuspectParts::default();
+    let mut suspects = SuspectWork::default();
     crash(&mut suspects, &[BAD], 3, 0);
     for part in 0..1_000_000 {
-        suspects.record_sound(&[PartTag(1 << 32 | part)], at(2000));
+        suspects.record_sound(&[part_tag(1 << 32 | part)], at(2000));
     }
     for part in 0..20_000u64 {
-        let parts = [PartTag(1 << 40 | part)];
+        let parts = [part_tag(1 << 40 | part)];
         suspects.record_crash(&parts, UpstreamTag(part as u32), at(2000 + part));
     }
     assert!(suspects.remembered() <= 4096 + 2 * 8192);
@@ -279,8 +284,8 @@
 #[test]
 fn objection_to_announced_hold() {
     // One router has seen the crashes, the other an answer after them.
-    let mut accuser = SuspectParts::default();
-    let mut witness = SuspectParts::default();
+    let mut accuser = SuspectWork::default();
+    let mut witness = SuspectWork::default();
     witness.record_sound(&[SHARED], at(2000));
     crash(&mut accuser, &[SHARED], 3, 1000);
     let announcement = accuser.take_notice();
