Hold a whole call that crashes the upstreams that run it

Callers saw engines end one after the other, and their calls with them: one request crashes each engine that runs it, and its caller sends it again. Cause: only shared parts of prompts were suspects, so that a last part, a lookup or an order had no history across calls.

The tag of the whole call is now a suspect with the same history, hold, refusal and trial. A call is sound only when its answer is complete, a part when the answer goes on, so a crash amid events counts for the call alone. Calls are considered before parts, and to a part the crashes that one held call explains count as one. Each crash may be seen by another router: reports go at once to two collectors that rendezvous hashing of the tag chooses, and the hold that results there is announced as before. Heartbeats carry calls from their second crash on. Held suspects are evicted last.

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -17,7 +17,7 @@
 use crate::forward::traffic_state::{TrafficState, UpstreamGuard};
 use crate::forward::upstream_response::{CallPlan, FullResponse, OpenStream, UpstreamResponse};
 use crate::forward::wait_limits::WaitLimits;
-use crate::ids::{CallTag, ServiceId, SuspectTag, UpstreamKey};
+use crate::ids::{ServiceId, SuspectTag, UpstreamKey};
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
 use crate::policy::call_exclusions::CallExclusions;
@@ -35,15 +35,15 @@
     /// Upstreams that may have run the call and failed. They are chosen again only if no other
     /// upstream is left.
     suspect: Vec<UpstreamKey>,
-    /// The whole work of the call.
-    tag: CallTag,
     /// The parts of the prompt that other requests share. `None` if the route's upstreams cache no
     /// prompts.
     prompt: Option<PromptPrefix>,
-    /// The work in the call that may crash upstreams: the parts that make up `prompt`.
+    /// The work that may crash upstreams: the whole call, then the parts that make up `prompt`.
+    ///
+    /// Invariant: not empty.
     suspects: Vec<SuspectTag>,
-    /// Whether an upstream has answered beyond the first events, so that the prompt is known not to
-    /// crash upstreams.
+    /// Whether an upstream has answered beyond the first events, so that the parts of the prompt are
+    /// known not to crash upstreams.
     is_sound: bool,
     /// What the caller has of the stream.
     progress: RelayProgress,
@@ -62,14 +62,12 @@
             .head
             .shared_prefix()
             .filter(|_| plan.route.cached_prompts);
-        let parts = plan.head.shared_parts();
+        let parts = plan.head.shared_parts().filter(|_| prompt.is_some());
+        let parts = parts.map(SuspectTag::Part);
         let account = plan.grant.as_ref().map(|grant| &grant.account);
+        let call = SuspectTag::Call(plan.head.work_tag(account, &plan.body));
         Self {
-            tag: plan.head.work_tag(account, &plan.body),
-            suspects: parts
-                .filter(|_| prompt.is_some())
-                .map(SuspectTag::Part)
-                .collect(),
+            suspects: std::iter::once(call).chain(parts).collect(),
             is_sound: false,
             prompt,
             attempts: CallAttempts::new(plan.route.kind, plan.route.max_attempts),
@@ -150,7 +148,7 @@
                 return Ok(Some(self.relay(first)));
             }
             if open.ended {
-                self.record_sound();
+                self.record_complete();
                 if let Some(open) = stream.take() {
                     self.state.record_success(open.source.guard.key);
                     self.release(open.source);
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -130,7 +130,7 @@
             // A crash of the upstream between the head and the body looks the same.
             return Err(AttemptFault::Broken);
         }
-        self.record_sound();
+        self.record_complete();
         if parts.status.is_server_error() {
             self.state.record_failure(
                 source.guard.key,
--- a/src/forward/front_call/crash_check.rs
+++ b/src/forward/front_call/crash_check.rs
@@ -20,9 +20,10 @@
     /// Records the crash of an upstream under this call, if the fault of the attempt is one. An
     /// upstream that only broke the connection still accepts others.
     ///
-    /// No crash is traced to a call whose answer was in progress.
+    /// A call is suspect until its answer is complete, the parts of its prompt until the answer goes
+    /// on after its first events.
     pub(super) async fn record_crash(&mut self, entry: &UpstreamEntry, fault: AttemptFault) {
-        if fault != AttemptFault::Broken || self.is_sound {
+        if fault != AttemptFault::Broken {
             return;
         }
         let broken_at = suspect_time(self.state.now());
@@ -33,25 +34,39 @@
             return;
         }
         self.state.telemetry.crashed_calls.inc();
-        let parts: Vec<String> = self.suspects.iter().map(ToString::to_string).collect();
+        let count = if self.is_sound {
+            1
+        } else {
+            self.suspects.len()
+        };
+        let suspects = &self.suspects[..count];
+        let parts: Vec<String> = suspects[1..].iter().map(ToString::to_string).collect();
         spdlog::info!("upstream-crashed", kv: {
             id: = self.request_id(), upstream: = entry.id, service: = self.service,
-            call: = self.tag, parts: = parts.join(","), events: = self.progress.event_count()
+            call: = suspects[0], parts: = parts.join(","), events: = self.progress.event_count()
         });
         let upstream = entry.id.key().into();
-        let mut suspects = self.state.board.suspects();
-        suspects.record_crash(&self.suspects, upstream, broken_at);
+        let mut work = self.state.board.suspects();
+        work.record_crash(suspects, upstream, broken_at);
     }
 
-    /// Records that the answer goes on after its first events, or is complete.
+    /// Records that the answer goes on after its first events.
     pub(super) fn record_sound(&mut self) {
-        if !std::mem::replace(&mut self.is_sound, true) && !self.suspects.is_empty() {
+        if !std::mem::replace(&mut self.is_sound, true) && self.suspects.len() > 1 {
             let now = suspect_time(self.state.now());
-            let mut suspects = self.state.board.suspects();
-            suspects.record_sound(&self.suspects, now);
+            let mut work = self.state.board.suspects();
+            work.record_sound(&self.suspects[1..], now);
         }
     }
 
+    /// Records that the answer is complete.
+    pub(super) fn record_complete(&mut self) {
+        self.record_sound();
+        let now = suspect_time(self.state.now());
+        let mut work = self.state.board.suspects();
+        work.record_sound(&self.suspects[..1], now);
+    }
+
     /// Returns the failure to report if a suspect of the call is held.
     pub(super) fn find_hold(&self) -> Option<CallFailure> {
         let now = suspect_time(self.state.now());
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -71,7 +71,7 @@
             }
             CallFailure::Held(retry_after) => Self {
                 retry_after: Some(retry_after),
-                ..Self::not_run("a part of the prompt crashes upstreams")
+                ..Self::not_run("the request crashes upstreams")
             },
             CallFailure::Limited(retry_after) => Self {
                 retry_after: Some(retry_after),
--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -130,6 +130,10 @@
         if let Some((frame, targets)) = notice {
             send_frame(&gossip, &frame, &targets).await;
         }
+        let collections = state.borrow_mut().take_collections();
+        for (frame, target) in collections {
+            send_frame(&gossip, &frame, &[target]).await;
+        }
         let request = state.borrow_mut().next_fetch();
         if let Some((peer, request)) = request {
             let response_sender = response_sender.clone();
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -23,6 +23,7 @@
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::leaving_upstreams::{LeavingChange, MARK_ROUNDS, MAX_NOTICE_MARKS};
 use crate::policy::locate_choice::RouterPlace;
+use crate::policy::suspect_reports::SuspectReports;
 use crate::policy::suspect_work::{SuspectChange, suspect_time};
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
 
@@ -201,6 +202,21 @@
         Some((frame.encode_to_vec(), targets))
     }
 
+    /// Returns notices of crashes of calls, each with the address of the router to send it to.
+    pub fn take_collections(&mut self) -> Vec<(Vec<u8>, SocketAddr)> {
+        let now = self.now();
+        let own = self.members.own().address;
+        let live = self.members.live(now);
+        let routers: Vec<Ipv4Addr> = live.iter().map(|record| record.address).collect();
+        let collections = self.board.suspects().take_collections(own, &routers);
+        let notice = |(address, reports): (Ipv4Addr, SuspectReports)| {
+            let mut frame = self.notice_frame(now);
+            frame.suspects = Some(SuspectColumns::new(&reports, suspect_time(now)));
+            (frame.encode_to_vec(), self.gossip_address(address))
+        };
+        collections.into_iter().map(notice).collect()
+    }
+
     /// Merges a heartbeat. Returns the frame to send back at once, if there is one: a heartbeat if
     /// the sender was not a live member before, or what speaks against its reports.
     pub fn merge_heartbeat(&mut self, bytes: &[u8]) -> Option<Vec<u8>> {
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -112,8 +112,8 @@
     Unknown,
     /// The deadline passed, and an upstream may have run the call.
     Late,
-    /// No upstream ran the call, and none will: a part of its prompt crashes upstreams. The caller
-    /// may try again after this time.
+    /// No upstream ran the call, and none will: it or a part of its prompt crashes upstreams. The
+    /// caller may try again after this time.
     Held(Duration),
     /// No upstream ran the call, and none will: all have taken as many requests as their limits
     /// allow. The caller may try again after this time.
--- a/src/policy/suspect_work.rs
+++ b/src/policy/suspect_work.rs
@@ -5,10 +5,17 @@
 //! upstreams is the one that was in several crashes at different times and was not answered
 //! meanwhile. Suspects that were only in crashes that such a one explains are not held.
 //!
+//! Calls are considered before parts, and to a part all crashes that one held call explains count as
+//! one: calls that crash upstreams do not accuse a part that they share by chance, but a part that
+//! crashes upstreams under several calls is held.
+//!
+//! Each crash of a call may be seen by another router. Their reports meet at the collectors of the
+//! call, two routers on which all agree.
+//!
 //! After a hold, one router of the fleet sends one call as a trial. An answer ends the hold; another
 //! crash doubles it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -63,6 +70,12 @@
 /// Number of suspects in a notice.
 const MAX_NOTICE_SUSPECTS: usize = 8;
 
+/// Number of routers at which the crashes of one call meet. One of them may fail.
+const COLLECTORS: usize = 2;
+
+/// Crashes of a call from which on heartbeats carry them; collectors hear of fewer.
+const HEARTBEAT_CALL_CRASHES: usize = 2;
+
 /// Converts a time of this router to the clock of [`SuspectWork`]. That clock starts long before
 /// the process, whose peers report crashes that are older than it.
 pub fn suspect_time(now: MonoTime) -> MonoTime {
@@ -84,6 +97,9 @@
     pub until: MonoTime,
 }
 
+/// Suspects with their crashes.
+type CrashLists = BTreeMap<SuspectTag, Vec<UpstreamCrash>>;
+
 /// Whether a call may be sent to an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SuspectDecision {
@@ -110,7 +126,9 @@
 pub struct SuspectWork {
     /// Invariant: at most [`MAX_SUSPECTS`] suspects.
     histories: BTreeMap<SuspectTag, SuspectHistory>,
-    sound: SoundWork,
+    sound_parts: SoundWork,
+    /// Apart from the parts, because most calls come only once.
+    sound_calls: SoundWork,
     /// Suspects whose holds have begun or are announced.
     held: BTreeMap<SuspectTag, HeldSuspect>,
     /// Time of this router's latest trial of a suspect.
@@ -119,13 +137,18 @@
     begun: BTreeSet<SuspectTag>,
     /// Suspects to announce to other routers.
     announcements: BTreeSet<SuspectTag>,
+    /// Calls of whose crashes, or of whose answers after these, the collectors should hear.
+    uncollected: HashSet<SuspectTag>,
 }
 
 impl SuspectWork {
     /// Records that `upstream` crashed before it answered a call with `suspects`.
     pub fn record_crash(&mut self, tags: &[SuspectTag], upstream: UpstreamTag, now: MonoTime) {
         for &tag in tags {
-            self.add_crash(tag, UpstreamCrash { upstream, at: now }, now);
+            let is_new = self.add_crash(tag, UpstreamCrash { upstream, at: now }, now);
+            if is_new && matches!(tag, SuspectTag::Call(_)) {
+                self.uncollected.insert(tag);
+            }
         }
         self.update_held(now);
     }
@@ -134,9 +157,13 @@
     pub fn record_sound(&mut self, tags: &[SuspectTag], now: MonoTime) {
         let mut changed = false;
         for &tag in tags {
-            self.sound.record(tag, now);
-            if let Some(history) = self.histories.get_mut(&tag) {
-                changed |= history.record_sound(now, now);
+            self.sound_of(tag).record(tag, now);
+            let history = self.histories.get_mut(&tag);
+            if history.is_some_and(|history| history.record_sound(now, now)) {
+                changed = true;
+                if matches!(tag, SuspectTag::Call(_)) {
+                    self.uncollected.insert(tag);
+                }
             }
         }
         if changed {
@@ -144,6 +171,13 @@
         }
     }
 
+    fn sound_of(&mut self, tag: SuspectTag) -> &mut SoundWork {
+        match tag {
+            SuspectTag::Call(_) => &mut self.sound_calls,
+            SuspectTag::Part(_) => &mut self.sound_parts,
+        }
+    }
+
     /// Merges the reports of another router, and returns what it should hear at once: answers that
     /// speak against the holds that it announces.
     pub fn merge(&mut self, reports: &SuspectReports, now: MonoTime) -> SuspectReports {
@@ -230,12 +264,19 @@
     /// answers that other routers may not have heard of.
     pub fn reports<R: Rng>(&self, now: MonoTime, rng: &mut R) -> SuspectReports {
         let mut crashes: Vec<(usize, CrashReport)> = Vec::new();
-        let mut sound: Vec<(MonoTime, SoundReport)> = Vec::new();
+        let mut sound: Vec<(bool, MonoTime, SoundReport)> = Vec::new();
         let mut has_news = false;
         for (&tag, history) in &self.histories {
             let is_news = now.since(history.news_at()) <= SPREAD_TIME;
             has_news |= is_news;
             let moments = history.moments();
+            let is_call = matches!(tag, SuspectTag::Call(_));
+            if let Some(at) = history.sound_at().filter(|_| is_news) {
+                sound.push((!is_call, history.news_at(), SoundReport { tag, at }));
+            }
+            if is_call && history.crashes().len() < HEARTBEAT_CALL_CRASHES {
+                continue;
+            }
             crashes.extend(
                 history
                     .crashes()
@@ -244,20 +285,18 @@
                         (moments, CrashReport { tag, upstream, at })
                     }),
             );
-            if let Some(at) = history.sound_at().filter(|_| is_news) {
-                sound.push((history.news_at(), SoundReport { tag, at }));
-            }
         }
         crashes.shuffle(rng);
         crashes.sort_by_key(|(moments, _)| std::cmp::Reverse(*moments));
         sound.shuffle(rng);
-        sound.sort_by_key(|(news_at, _)| std::cmp::Reverse(*news_at));
+        // Parts first: the answers to calls reach the collectors by notices.
+        sound.sort_by_key(|&(is_part, news_at, _)| std::cmp::Reverse((is_part, news_at)));
         let room = if has_news { MAX_CRASH_REPORTS } else { 1 };
         let crashes = take_first_and_any(crashes, room, rng);
         let sound = take_first_and_any(sound, MAX_SOUND_REPORTS, rng);
         SuspectReports {
             crashes: crashes.into_iter().map(|(_, report)| report).collect(),
-            sound: sound.into_iter().map(|(_, report)| report).collect(),
+            sound: sound.into_iter().map(|(.., report)| report).collect(),
         }
     }
 
@@ -274,6 +313,38 @@
         notice
     }
 
+    /// Returns what each of `routers` should hear at once as a collector: crashes of calls, and
+    /// answers after these. `own` is the address of this router.
+    pub fn take_collections(
+        &mut self,
+        own: Ipv4Addr,
+        routers: &[Ipv4Addr],
+    ) -> BTreeMap<Ipv4Addr, SuspectReports> {
+        let mut pending: Vec<SuspectTag> = self.uncollected.iter().copied().collect();
+        let count = |tag: &SuspectTag| self.histories.get(tag).map_or(0, SuspectHistory::moments);
+        pending.sort_unstable_by_key(|tag| (std::cmp::Reverse(count(tag)), *tag));
+        pending.truncate(MAX_NOTICE_SUSPECTS);
+        let mut collections: BTreeMap<Ipv4Addr, SuspectReports> = BTreeMap::new();
+        for tag in pending {
+            self.uncollected.remove(&tag);
+            let Some(history) = self.histories.get(&tag) else {
+                continue;
+            };
+            let crashes = history.latest_moments(HOLD_CRASHES);
+            for collector in collectors(tag, routers) {
+                if collector == own {
+                    continue;
+                }
+                let reports = collections.entry(collector).or_default();
+                let report = |&UpstreamCrash { upstream, at }| CrashReport { tag, upstream, at };
+                reports.crashes.extend(crashes.iter().map(report));
+                let sound = history.sound_at().map(|at| SoundReport { tag, at });
+                reports.sound.extend(sound);
+            }
+        }
+        collections
+    }
+
     /// Forgets old crashes.
     pub fn remove_expired(&mut self, now: MonoTime) {
         let held = &self.held;
@@ -308,14 +379,14 @@
 
     /// Number of suspects in memory, with crashes or without.
     pub fn remembered(&self) -> usize {
-        self.histories.len() + self.sound.len()
+        self.histories.len() + self.sound_parts.len() + self.sound_calls.len()
     }
 
     fn add_crash(&mut self, tag: SuspectTag, crash: UpstreamCrash, now: MonoTime) -> bool {
         if self.histories.len() >= MAX_SUSPECTS && !self.histories.contains_key(&tag) {
             self.evict();
         }
-        let sound = self.sound.last(tag);
+        let sound = self.sound_of(tag).last(tag);
         let history = self.histories.entry(tag).or_insert_with(|| {
             let mut history = SuspectHistory::default();
             sound.map(|at| history.record_sound(at, now));
@@ -324,26 +395,52 @@
         history.add_crash(crash, now)
     }
 
-    /// Removes the suspect with the fewest crashes, the oldest of those first.
+    /// Removes the suspect with the fewest crashes, the oldest of those first, and held ones last.
     fn evict(&mut self) {
-        let weakest = self
-            .histories
-            .iter()
-            .min_by_key(|(tag, history)| (history.crashes().len(), history.last_report(), **tag))
-            .map(|(&tag, _)| tag);
+        let rank = |tag: &SuspectTag, history: &SuspectHistory| {
+            let is_held = self.held.contains_key(tag);
+            (
+                is_held,
+                history.crashes().len(),
+                history.last_report(),
+                *tag,
+            )
+        };
+        let histories = self.histories.iter();
+        let weakest = histories.min_by_key(|(tag, history)| rank(tag, history));
+        let weakest = weakest.map(|(&tag, _)| tag);
         weakest.and_then(|tag| self.histories.remove(&tag));
     }
 
-    /// Finds the suspects to hold: repeatedly the suspect that explains most of the crashes that no other
-    /// held suspect explains.
+    /// Finds the suspects to hold, calls before parts.
     fn update_held(&mut self, now: MonoTime) {
-        let mut candidates: BTreeMap<SuspectTag, Vec<UpstreamCrash>> = self
+        let candidates = self
             .histories
             .iter()
             .filter(|(_, history)| history.crashes().len() >= HOLD_CRASHES)
-            .map(|(&tag, history)| (tag, history.crashes().to_vec()))
-            .collect();
+            .map(|(&tag, history)| (tag, history.crashes().to_vec()));
+        let (calls, mut parts): (CrashLists, CrashLists) =
+            candidates.partition(|(tag, _)| matches!(tag, SuspectTag::Call(_)));
         let mut held = BTreeMap::new();
+        let explained = self.hold_explaining(calls, &mut held, now);
+        for crashes in parts.values_mut() {
+            count_as_one(crashes, &explained);
+        }
+        self.hold_explaining(parts, &mut held, now);
+        let is_new = |tag: &&SuspectTag| !self.held.contains_key(*tag);
+        self.announcements.extend(held.keys().filter(is_new));
+        self.held = held;
+    }
+
+    /// Adds to `held` repeatedly the suspect that explains most of the crashes that no other one of
+    /// `candidates` explains. Returns the crashes that each explains.
+    fn hold_explaining(
+        &self,
+        mut candidates: CrashLists,
+        held: &mut BTreeMap<SuspectTag, HeldSuspect>,
+        now: MonoTime,
+    ) -> Vec<Vec<UpstreamCrash>> {
+        let mut all_explained = Vec::new();
         while let Some(best) = self.best_candidate(&candidates) {
             let explained = candidates[&best].clone();
             let is_known = self.was_answered(best);
@@ -356,20 +453,16 @@
                 .collect();
             held.extend(alike.into_iter().map(|tag| (tag, self.hold(tag, now))));
             for crashes in candidates.values_mut() {
-                crashes.retain(|crash| !explained.iter().any(|known| known.is_same(crash)));
+                crashes.retain(|crash| !contains(&explained, crash));
             }
+            all_explained.push(explained);
         }
-        let is_new = |tag: &&SuspectTag| !self.held.contains_key(*tag);
-        self.announcements.extend(held.keys().filter(is_new));
-        self.held = held;
+        all_explained
     }
 
     /// Returns the suspect with the most crashes at different times. A suspect that no upstream is known
     /// to have answered comes before all others.
-    fn best_candidate(
-        &self,
-        candidates: &BTreeMap<SuspectTag, Vec<UpstreamCrash>>,
-    ) -> Option<SuspectTag> {
+    fn best_candidate(&self, candidates: &CrashLists) -> Option<SuspectTag> {
         candidates
             .iter()
             .map(|(&tag, crashes)| (count_moments(crashes.iter()), crashes.len(), tag))
@@ -403,6 +496,24 @@
     }
 }
 
+/// Removes from `crashes` all but the first that each of `explained` contains.
+fn count_as_one(crashes: &mut Vec<UpstreamCrash>, explained: &[Vec<UpstreamCrash>]) {
+    for group in explained {
+        let mut is_counted = false;
+        crashes
+            .retain(|crash| !contains(group, crash) || !std::mem::replace(&mut is_counted, true));
+    }
+}
+
+/// The routers at which the crashes of a suspect meet.
+fn collectors(tag: SuspectTag, routers: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+    let score = |address: &Ipv4Addr| (xxh3_64_with_seed(&address.octets(), tag.hash()), *address);
+    let mut ranked = routers.to_vec();
+    ranked.sort_unstable_by_key(|address| std::cmp::Reverse(score(address)));
+    ranked.truncate(COLLECTORS);
+    ranked
+}
+
 /// Removes and returns some suspects, as many as fit in a message.
 fn take_some(tags: &mut BTreeSet<SuspectTag>) -> Vec<SuspectTag> {
     let rest = tags.iter().nth(MAX_NOTICE_SUSPECTS).copied();
@@ -434,8 +545,10 @@
 }
 
 fn has_same_crashes(left: &[UpstreamCrash], right: &[UpstreamCrash]) -> bool {
-    let contains =
-        |set: &[UpstreamCrash], crash: &UpstreamCrash| set.iter().any(|c| c.is_same(crash));
     left.iter().all(|crash| contains(right, crash))
         && right.iter().all(|crash| contains(left, crash))
 }
+
+fn contains(crashes: &[UpstreamCrash], crash: &UpstreamCrash) -> bool {
+    crashes.iter().any(|known| known.is_same(crash))
+}
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -108,7 +108,7 @@
             )?,
             crashed_calls: counter(
                 "crashed_calls_total",
-                "Calls lost without an answer when their upstream crashed",
+                "Calls without a complete answer when their upstream crashed",
             )?,
             lines_left_out: counter(
                 "log_lines_left_out_total",
--- a/tests/call_tag.rs
+++ b/tests/call_tag.rs
@@ -72,3 +72,21 @@
         tag("shop", "/ask", "an", "abo")
     );
 }
+
+/// Prints the time that a tag takes, for docs/CAPACITY.md.
+#[test]
+#[ignore = "prints times, checks nothing"]
+fn cost_of_tag() {
+    let call = head(Method::POST, "shop", "/ask/long-enough-to-be-usual?x=1");
+    let ana = account("ana");
+    for bytes in [64, 4096, 1 << 20] {
+        let body = vec![7u8; bytes];
+        let rounds = (1 << 26) / bytes.max(256);
+        let start = std::time::Instant::now();
+        for _ in 0..rounds {
+            std::hint::black_box(call.work_tag(Some(&ana), std::hint::black_box(&body)));
+        }
+        let nanos = start.elapsed().as_nanos() as f64 / rounds as f64;
+        println!("{bytes} bytes: {nanos:.0} ns");
+    }
+}
