Take calls in a stop only if they can be answered before its end

Callers saw: orders, lookups and streams that came in the first 2.4 s of a planned stop were passed on whatever time they needed, and cut without a byte at the end of the grace; with a grace below 2.8 s calls were taken until the process ended; a request whose body was complete only after the router had closed was passed on too.

Cause: admission looked at the stage of the router, once, when the head was there. It knew neither what is left of the grace nor what the call needs.

Change: policy::stop_admission decides from the kind of the call, its time limit, the time that the latest 64 calls of its route took (the longest one and half as much again for calls that may not be repeated, the 0.9 quantile for others; multiples of the route's target if fewer than 8 are known) and what is left. The decision is taken when the head is there, and again when the body is. What is refused gets 503 with Retry-After and a closed connection, and wasn't passed on. A short grace closes the front before its end.

Not in this commit: calls in progress at the end, and responses that weren't sent.

--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -105,6 +105,28 @@
     }
 }
 
+/// Measures the time of a call from its complete request to the end of its response.
+struct CallTimer<D> {
+    state: Rc<TrafficState<D>>,
+    route: Arc<RouteRule>,
+    started: MonoTime,
+}
+
+impl<D: EdgeDialect> CallTimer<D> {
+    fn start(state: Rc<TrafficState<D>>, plan: &CallPlan) -> Self {
+        Self {
+            started: state.now(),
+            route: Arc::clone(&plan.route),
+            state,
+        }
+    }
+
+    fn record(self) {
+        let time = self.state.now().since(self.started);
+        self.state.record_call_time(&self.route, time);
+    }
+}
+
 /// Handles a request and returns the response, whose body may be a stream in progress.
 pub async fn handle_call<D: EdgeDialect>(
     state: Rc<TrafficState<D>>,
@@ -178,8 +200,11 @@
     let grant = authenticate(&table, &route, &head)?;
     let limit = head.timeout.unwrap_or(route.time_limit);
     let deadline = began + limit.min(route.time_limit);
+    check_stop(state, &route, deadline)?;
     let body_bytes = table.limits.body_bytes.0 as usize;
     let body = read_body(state, request.take_payload(), body_bytes, deadline).await?;
+    // The body may have taken most of the time that was left.
+    check_stop(state, &route, deadline)?;
     Ok(CallPlan {
         table,
         route,
@@ -191,6 +216,19 @@
     })
 }
 
+/// Refuses a call that a stopping router could not answer before its end.
+fn check_stop<D: EdgeDialect>(
+    state: &Rc<TrafficState<D>>,
+    route: &RouteRule,
+    deadline: MonoTime,
+) -> Result<(), LocalResponse> {
+    if state.admits(route, deadline) {
+        Ok(())
+    } else {
+        Err(LocalResponse::not_run("router stops before the end"))
+    }
+}
+
 /// Copies the headers of a request. Fails if they exceed the configured size.
 fn copy_request_headers(
     request: &ntex::http::Request,
@@ -265,14 +303,21 @@
     caller: Option<IoRef>,
     open: OpenCallGuard<D>,
 ) -> Result<FrontResponse, LocalResponse> {
+    let timer = CallTimer::start(Rc::clone(state), &plan);
     let mut call = FrontCall::new(Rc::clone(state), plan);
     match call.forward().await {
         Ok(UpstreamResponse::Full(response)) => {
+            timer.record();
             call.finish("answered", response.status.as_u16());
             Ok(full_response(response))
         }
-        Ok(UpstreamResponse::Stream(stream)) => Ok(stream_response(call, *stream, caller, open)),
+        Ok(UpstreamResponse::Stream(stream)) => {
+            Ok(stream_response(call, *stream, caller, open, timer))
+        }
         Err(failure) => {
+            if failure == CallFailure::Late {
+                timer.record();
+            }
             let response = LocalResponse::from(failure);
             call.finish(failure_label(failure), response.status.as_u16());
             Err(response)
@@ -304,6 +349,7 @@
     mut stream: OpenStream<D>,
     caller: Option<IoRef>,
     open: OpenCallGuard<D>,
+    timer: CallTimer<D>,
 ) -> FrontResponse {
     let (sender, chunks) = channel(MAX_BUFFERED_CHUNKS);
     let status = stream.status;
@@ -311,6 +357,9 @@
     let task = TaskGuard::spawn(async move {
         let _open = open;
         let outcome = relay(&mut call, stream, &sender).await;
+        if outcome == "answered" {
+            timer.record();
+        }
         call.finish(outcome, status.as_u16());
     });
     let body = RelayBody::Stream {
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -2,7 +2,7 @@
 //! connections and the rate limits of log lines.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,14 +18,16 @@
 use crate::forward::body_budget::BodyBudget;
 use crate::forward::connection_pool::ConnectionPool;
 use crate::forward_board::ForwardBoard;
-use crate::ids::{PartTag, ServiceId, UpstreamKey};
+use crate::ids::{PartTag, RouteKey, ServiceId, UpstreamKey};
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::call_attempts::AttemptFault;
+use crate::policy::call_times::CallTimes;
 use crate::policy::latest_loads::{UpstreamLoad, UpstreamTag};
 use crate::policy::prompt_load::PromptLoad;
 use crate::policy::rate_limits::{FleetPlace, RateLimits};
 use crate::policy::retry_window::RetryWindow;
+use crate::policy::stop_admission::CallNeed;
 use crate::policy::suspect_parts::PartDecision;
 use crate::policy::upstream_choice::{
     Eligibility, SharedPart, UpstreamCandidate, choose_upstream, next_preferred,
@@ -33,7 +35,7 @@
 use crate::policy::upstream_stats::UpstreamStats;
 use crate::policy::upstream_waits::{UpstreamOpening, UpstreamWaits, service_wait, spread_wait};
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
-use crate::route::RouteTable;
+use crate::route::{RouteRule, RouteTable};
 use crate::units::{RequestRate, RetryDelay};
 
 /// Lowest copy speed between upstreams at which cached prompt parts are copied: several times the
@@ -50,6 +52,10 @@
 /// Minimum value of `retry-after` for a service whose upstreams set limits.
 const MIN_LIMIT_WAIT: Duration = Duration::from_millis(100);
 
+/// Quantile of the times of a route's calls within which a call that may be repeated is expected to
+/// end.
+const REPEATABLE_QUANTILE: f64 = 0.9;
+
 /// State of a traffic thread, shared by its calls.
 pub struct TrafficState<D> {
     /// Reads and writes the HTTP heads.
@@ -64,6 +70,7 @@
     pub body_budget: BodyBudget,
     upstream_stats: RefCell<HashMap<UpstreamKey, UpstreamStats>>,
     retry_windows: RefCell<HashMap<ServiceId, RetryWindow>>,
+    call_times: RefCell<HashMap<RouteKey, CallTimes>>,
     prompt_load: RefCell<PromptLoad>,
     /// Upstreams that have asked this router to wait.
     waits: RefCell<UpstreamWaits>,
@@ -145,6 +152,7 @@
             body_budget: BodyBudget::default(),
             upstream_stats: RefCell::default(),
             retry_windows: RefCell::default(),
+            call_times: RefCell::default(),
             prompt_load: RefCell::default(),
             waits: RefCell::default(),
             call_log_limiter: RefCell::default(),
@@ -188,6 +196,35 @@
         self.telemetry.repeats.inc();
     }
 
+    /// Records the time that a call of `route` took from the complete request to its end.
+    pub fn record_call_time(&self, route: &RouteRule, time: Duration) {
+        let mut call_times = self.call_times.borrow_mut();
+        call_times.entry(route.name.key()).or_default().record(time);
+    }
+
+    /// Returns whether a call with this deadline may still be taken. Only a stopping router takes
+    /// some and not others.
+    pub fn admits(&self, route: &RouteRule, deadline: MonoTime) -> bool {
+        let Some(plan) = self.board.stop_plan.load_full() else {
+            return true;
+        };
+        let quantile = if route.kind.repeatable() {
+            REPEATABLE_QUANTILE
+        } else {
+            1.0
+        };
+        let call_times = self.call_times.borrow();
+        let times = call_times.get(&route.name.key());
+        let now = self.now();
+        let need = CallNeed {
+            kind: route.kind,
+            limit: deadline.since(now),
+            target: route.target,
+            measured: times.and_then(|times| times.quantile(quantile)),
+        };
+        plan.admits(&need, now)
+    }
+
     /// Chooses an upstream of `service`. Upstreams in `excluded` are never chosen, those in
     /// `suspect` only if no other is left. Returns `None` if no upstream can take the call.
     pub fn pick(
@@ -593,6 +630,11 @@
         set_count(&self.telemetry.upstreams_limited, rate_limits.limited());
         drop(rate_limits);
         self.prompt_load.borrow_mut().remove_idle(self.now());
+        if let Some(table) = self.board.routes.load_full() {
+            let known: HashSet<RouteKey> = table.route_keys().collect();
+            let mut call_times = self.call_times.borrow_mut();
+            call_times.retain(|key, _| known.contains(key));
+        }
         self.sweep_waits(&upstreams);
         let mut pool = self.pool.borrow_mut();
         for entry in upstreams.iter() {
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -11,6 +11,7 @@
 use crate::policy::leaving_upstreams::LeavingUpstreams;
 use crate::policy::locate_choice::RouterPlace;
 use crate::policy::rate_limits::RateLimits;
+use crate::policy::stop_admission::StopPlan;
 use crate::policy::suspect_parts::SuspectParts;
 use crate::route::RouteTable;
 
@@ -22,7 +23,8 @@
     Booting,
     /// Accepts calls; its address is returned to callers.
     Serving,
-    /// Is stopping; still accepts calls, because callers may have cached its address.
+    /// Is stopping; still accepts calls that can be answered before its end, because callers may
+    /// have cached its address.
     Leaving,
     /// Accepts no new calls and finishes those in progress.
     Closing,
@@ -57,6 +59,8 @@
     /// Time up to which this router has all changes of the store, in milliseconds of the process's
     /// clock; 0 before the first read.
     pub store_known_ms: AtomicU64,
+    /// The stop that was requested, if one was.
+    pub stop_plan: ArcSwapOption<StopPlan>,
     /// Calls in progress; written by the traffic thread.
     pub calls: AtomicUsize,
     load_reports: Mutex<LatestLoads>,
@@ -76,6 +80,7 @@
             serving_routers: ArcSwap::default(),
             fleet_size: AtomicUsize::new(1),
             store_known_ms: AtomicU64::new(0),
+            stop_plan: ArcSwapOption::empty(),
             calls: AtomicUsize::new(0),
             load_reports: Mutex::default(),
             suspect_parts: Mutex::default(),
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -23,6 +23,7 @@
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::leaving_upstreams::{LeavingChange, MARK_ROUNDS, MAX_NOTICE_MARKS};
 use crate::policy::locate_choice::RouterPlace;
+use crate::policy::stop_admission::StopPlan;
 use crate::policy::suspect_parts::{PartChange, part_time};
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
 
@@ -30,13 +31,6 @@
 /// than its timestamps suggest.
 const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
-/// How long a stopping router accepts new calls: the time to live of a locate response with its
-/// address, and a margin.
-const LEAVING_DURATION: Duration = Duration::from_millis(2400);
-
-/// Part of the stop grace that is reserved for ending the process.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
-
 /// Number of ticks between two reads of the settings file.
 const SETTINGS_READ_TICKS: u64 = 8;
 
@@ -62,7 +56,7 @@
     store_unreachable: bool,
     /// State of the store that the last notice to peers announced.
     noticed: StoreStamp,
-    stop_requested: Option<MonoTime>,
+    stop_plan: Option<StopPlan>,
     /// Why the settings file was rejected when it was last read.
     settings_fault: Option<String>,
     last_tick: MonoTime,
@@ -102,7 +96,7 @@
             store_active: now,
             store_unreachable: false,
             noticed: StoreStamp::default(),
-            stop_requested: None,
+            stop_plan: None,
             settings_fault: None,
             last_tick: now,
             ticks: 0,
@@ -379,12 +373,21 @@
 
     /// Starts the stop: the router enters the leaving stage and calls in progress continue.
     pub fn request_stop(&mut self) {
-        if self.stop_requested.is_none() {
-            self.stop_requested = Some(self.now());
+        if self.stop_plan.is_none() {
+            let grace = self.board.settings.load().stop_grace;
+            self.set_stop_plan(StopPlan {
+                requested: self.now(),
+                grace,
+            });
             self.enter_stage(ForwardStage::Leaving);
         }
     }
 
+    fn set_stop_plan(&mut self, plan: StopPlan) {
+        self.stop_plan = Some(plan);
+        self.board.stop_plan.store(Some(Arc::new(plan)));
+    }
+
     /// Runs the periodic work: pause detection, expiry, publishing, and the next gossip round.
     pub fn tick(&mut self) -> TickRound {
         let now = self.now();
@@ -509,17 +512,15 @@
     /// Advances a requested stop. Returns true once all calls have finished or the stop grace is
     /// nearly used up.
     fn is_stopped(&mut self, now: MonoTime, calls: usize) -> bool {
-        let Some(requested) = self.stop_requested else {
+        let Some(plan) = self.stop_plan else {
             return false;
         };
-        let spent = now.since(requested);
-        if spent >= LEAVING_DURATION && self.board.stage() == ForwardStage::Leaving {
+        if now >= plan.closes_at() && self.board.stage() == ForwardStage::Leaving {
             self.enter_stage(ForwardStage::Closing);
             return false;
         }
-        let grace = self.board.settings.load().stop_grace;
         let closing = self.board.stage() == ForwardStage::Closing;
-        (closing && calls == 0) || spent + STOP_MARGIN >= grace
+        (closing && calls == 0) || now >= plan.ends_at()
     }
 
     /// Reads the settings again and applies those that may change while the process runs.
@@ -556,6 +557,12 @@
         spdlog::info!("settings-reloaded", kv: { cause: = cause });
         self.members.set_seeds(settings.seeds.clone());
         self.store_role.set_apply_limit(settings.apply_limit);
+        if let Some(plan) = self.stop_plan {
+            self.set_stop_plan(StopPlan {
+                grace: settings.stop_grace,
+                ..plan
+            });
+        }
         self.board.settings.store(Arc::new(settings));
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,6 +6,7 @@
 
 pub mod boot_refusal;
 pub mod call_attempts;
+pub mod call_times;
 pub mod engine_pool;
 pub mod fair_queue;
 pub mod latest_loads;
@@ -31,6 +32,7 @@
 pub mod slot_requests;
 pub mod slot_waiters;
 pub mod sound_parts;
+pub mod stop_admission;
 pub mod suspect_parts;
 pub mod ticket;
 pub mod ticket_ledger;
--- a/src/route/route_table.rs
+++ b/src/route/route_table.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 
-use crate::ids::{AccountId, ServiceId};
+use crate::ids::{AccountId, RouteKey, ServiceId};
 use crate::route::{EdgeLimits, PriorityRank, RouteProblem, RouteRule, TableFault};
 
 /// Version number of a configuration; a larger one is newer.
@@ -66,6 +66,12 @@
             .find_map(|(at, _)| routes.get(&path[..=at]))
     }
 
+    /// Returns the keys of all routes.
+    pub fn route_keys(&self) -> impl Iterator<Item = RouteKey> {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        routes.map(|route| route.name.key())
+    }
+
     fn host_routes(&self, host: &str) -> Option<&HashMap<String, Arc<RouteRule>>> {
         if let Some(routes) = self.hosts.get(host) {
             return Some(routes);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,6 @@
 pub mod plain_client;
 pub mod platform_store;
 pub mod scripted_engine;
-mod wire_text;
+pub mod wire_text;
 
 pub use wire_text::{WireHead, read_message};
