Answer calls in progress before a stop ends the process

Callers saw: at the end of the grace of a planned stop, a connection that closed without a byte, for orders and lookups that an upstream still worked on and for requests whose body was not complete.

Cause: the end of the process was nobody's deadline. Calls know their own only, and the process ended at the next tick of 0.25 s with whatever was open.

Change: 0.1 s before the process ends (a twentieth of the grace, if that is less), the control thread tells the calls to end: 502 if the call was sent, 503 with Retry-After if its body was not complete, and streams are broken off as if their upstream had failed. They are logged as outcome=stopped, and counted in one line calls-ended. Stages of a stop come at their time, not at the next tick.

Failed before, platform/tests/late_stop on: call_cut_without_answer with no byte ("/pay/1, grace 1 s: unexpected end of file") and body_never_ends with UnexpectedEof; stream_looks_complete held for HTTP/1.1. A stream to a caller of HTTP/1.0 still ends in order and looks complete: its responses have no chunks.

--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -275,7 +275,12 @@
     let mut body = BytesMut::new();
     loop {
         let left = deadline.since(state.now());
-        let Ok(chunk) = tokio::time::timeout(left, payload.next()).await else {
+        let next = tokio::time::timeout(left, payload.next());
+        let Ok(chunk) = (tokio::select! {
+            biased;
+            chunk = next => chunk,
+            () = state.board.await_calls_end() => return Err(LocalResponse::not_run("router stops")),
+        }) else {
             return Err(LocalResponse::new(
                 StatusCode::REQUEST_TIMEOUT,
                 "body too slow",
@@ -305,7 +310,17 @@
 ) -> Result<FrontResponse, LocalResponse> {
     let timer = CallTimer::start(Rc::clone(state), &plan);
     let mut call = FrontCall::new(Rc::clone(state), plan);
-    match call.forward().await {
+    let forwarded = tokio::select! {
+        biased;
+        forwarded = call.forward() => forwarded,
+        () = state.board.await_calls_end() => {
+            let reason = "router stopped before the upstream answered";
+            let response = LocalResponse::new(StatusCode::BAD_GATEWAY, reason);
+            call.finish("stopped", response.status.as_u16());
+            return Err(response);
+        }
+    };
+    match forwarded {
         Ok(UpstreamResponse::Full(response)) => {
             timer.record();
             call.finish("answered", response.status.as_u16());
@@ -354,9 +369,14 @@
     let (sender, chunks) = channel(MAX_BUFFERED_CHUNKS);
     let status = stream.status;
     let headers = std::mem::take(&mut stream.headers);
+    let board = Arc::clone(&timer.state.board);
     let task = TaskGuard::spawn(async move {
         let _open = open;
-        let outcome = relay(&mut call, stream, &sender).await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = relay(&mut call, stream, &sender) => outcome,
+            () = board.await_calls_end() => "stopped",
+        };
         if outcome == "answered" {
             timer.record();
         }
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use tokio::sync::watch;
 
 use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::forward_settings::ForwardSettings;
@@ -61,6 +62,8 @@
     pub store_known_ms: AtomicU64,
     /// The stop that was requested, if one was.
     pub stop_plan: ArcSwapOption<StopPlan>,
+    /// Whether the calls in progress are to end, because the stop grace is nearly used up.
+    pub calls_end: watch::Sender<bool>,
     /// Calls in progress; written by the traffic thread.
     pub calls: AtomicUsize,
     load_reports: Mutex<LatestLoads>,
@@ -81,6 +84,7 @@
             fleet_size: AtomicUsize::new(1),
             store_known_ms: AtomicU64::new(0),
             stop_plan: ArcSwapOption::empty(),
+            calls_end: watch::Sender::new(false),
             calls: AtomicUsize::new(0),
             load_reports: Mutex::default(),
             suspect_parts: Mutex::default(),
@@ -118,6 +122,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits until the calls in progress are to end.
+    pub async fn await_calls_end(&self) {
+        // Fails only if the sender is gone, which `self` holds.
+        let _ = self.calls_end.subscribe().wait_for(|&ends| ends).await;
+    }
+
     pub fn stage(&self) -> ForwardStage {
         ForwardStage::ALL[usize::from(self.stage.load(Ordering::Relaxed))]
     }
--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -92,6 +92,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut datagram = vec![0; DATAGRAM_BYTES];
     loop {
+        let stop_wait = state.borrow().stop_wait();
         tokio::select! {
             Some(event) = store_events.recv() => state.borrow_mut().merge_store_event(event),
             Some((peer, response)) = responses.recv() => {
@@ -118,8 +119,12 @@
                 }
                 send_heartbeats(&gossip, &state, &round.targets).await;
                 if round.stopped {
-                    spdlog::info!("stop", kv: { vm: = settings.vm });
-                    return Ok(());
+                    break;
+                }
+            }
+            () = tokio::time::sleep(stop_wait.unwrap_or_default()), if stop_wait.is_some() => {
+                if state.borrow_mut().advance_stop() {
+                    break;
                 }
             }
             _ = term.recv() => stop(&gossip, &state).await,
@@ -139,6 +144,8 @@
             });
         }
     }
+    spdlog::info!("stop", kv: { vm: = settings.vm });
+    Ok(())
 }
 
 fn open_signal(kind: SignalKind) -> RouterResult<tokio::signal::unix::Signal> {
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -421,7 +421,7 @@
                 .collect(),
             paused,
             read_settings: self.ticks.is_multiple_of(SETTINGS_READ_TICKS),
-            stopped: self.is_stopped(now, calls),
+            stopped: self.advance_stop(),
         }
     }
 
@@ -509,16 +509,35 @@
         set_count(&telemetry.calls_open, calls);
     }
 
+    /// Returns the time until the next step of a requested stop.
+    pub fn stop_wait(&self) -> Option<Duration> {
+        let plan = self.stop_plan?;
+        let next = match self.board.stage() {
+            ForwardStage::Closing if *self.board.calls_end.borrow() => plan.ends_at(),
+            ForwardStage::Closing => plan.responds_at(),
+            _ => plan.closes_at(),
+        };
+        Some(next.since(self.now()))
+    }
+
     /// Advances a requested stop. Returns true once all calls have finished or the stop grace is
     /// nearly used up.
-    fn is_stopped(&mut self, now: MonoTime, calls: usize) -> bool {
+    pub fn advance_stop(&mut self) -> bool {
         let Some(plan) = self.stop_plan else {
             return false;
         };
+        let now = self.now();
         if now >= plan.closes_at() && self.board.stage() == ForwardStage::Leaving {
             self.enter_stage(ForwardStage::Closing);
             return false;
         }
+        let calls = self.board.calls.load(Ordering::Relaxed);
+        if now >= plan.responds_at() && !self.board.calls_end.send_replace(true) && calls > 0 {
+            spdlog::warn!("calls-ended", kv: {
+                calls: = calls, ms: = now.since(plan.requested).as_millis(),
+                grace_ms: = plan.grace.as_millis()
+            });
+        }
         let closing = self.board.stage() == ForwardStage::Closing;
         (closing && calls == 0) || now >= plan.ends_at()
     }
