End a stop only when all responses were sent

Callers saw: in a planned stop, a response that they read slowly was cut once the router had closed, though seconds of the grace were left.

Cause: a call counts as open until its handler returns. What the HTTP library still holds for a slow caller then didn't count, and the process ended with it.

Change: the traffic thread lists callers' connections, and tells the control thread when no call is open and nothing is left to send, at two checks in a row (the end of a stream is written a moment after its call has ended). The process ends then, or at the end of the grace as before.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -4,6 +4,7 @@
 //! [`EdgeDialect`]: crate::dialect::EdgeDialect
 
 pub mod body_budget;
+pub mod caller_connections;
 mod choice_record;
 pub mod connection_headers;
 mod connection_pool;
--- a/src/forward/front_server.rs
+++ b/src/forward/front_server.rs
@@ -4,12 +4,14 @@
 use std::convert::Infallible;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::StatusCode;
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
+use ntex::io::IoRef;
 use ntex::service::{Pipeline, ServiceFactory, fn_service};
 use ntex::time::Seconds;
 use socket2::{Domain, Socket, Type};
@@ -38,6 +40,9 @@
 /// accept.
 const STAGE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which a closing router checks whether all responses were sent.
+const SENT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Returns the limits of callers' connections while no configuration is in force. The other
 /// listeners always use them.
 fn default_limits() -> EdgeLimits {
@@ -108,8 +113,10 @@
             .and_then(|socket| ntex::rt::from_tcp_stream(socket, config.clone()));
         match io {
             Ok(io) => {
+                let caller = CallerGuard::new(Rc::clone(&state), io.get_ref());
                 let connection = pipeline.call_static(io);
                 tokio::task::spawn_local(async move {
+                    let _caller = caller;
                     // An error means that the caller's connection broke. Each call logs its own
                     // outcome.
                     let _ = connection.await;
@@ -120,6 +127,40 @@
     }
 }
 
+/// A caller's connection, listed as open until the guard is dropped.
+struct CallerGuard<D> {
+    state: Rc<TrafficState<D>>,
+    number: u64,
+}
+
+impl<D> CallerGuard<D> {
+    fn new(state: Rc<TrafficState<D>>, io: IoRef) -> Self {
+        let number = state.callers.borrow_mut().insert(io);
+        Self { state, number }
+    }
+}
+
+impl<D> Drop for CallerGuard<D> {
+    fn drop(&mut self) {
+        self.state.callers.borrow_mut().remove(self.number);
+    }
+}
+
+/// Tells the control thread of a closing router whether all responses were sent.
+pub async fn watch_responses<D: EdgeDialect>(state: Rc<TrafficState<D>>) {
+    wait_until_closing(&state).await;
+    let mut was_sent = false;
+    loop {
+        let calls = state.board.calls.load(Ordering::Relaxed);
+        let is_sent = calls == 0 && !state.callers.borrow().has_unsent();
+        // The end of a stream is written a moment after its call has ended.
+        let sent = is_sent && was_sent;
+        state.board.responses_sent.store(sent, Ordering::Relaxed);
+        was_sent = is_sent;
+        tokio::time::sleep(SENT_POLL_INTERVAL).await;
+    }
+}
+
 /// Converts limits to connection settings. The HTTP library takes whole seconds, so times are
 /// rounded up; then one second is added.
 fn connection_config(limits: &EdgeLimits) -> HttpServiceConfig {
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -16,6 +16,7 @@
 use crate::dialect::{EdgeDialect, PromptPrefix, ResponseHead};
 use crate::fleet::upstream_entry::{ServingState, UpstreamEntry};
 use crate::forward::body_budget::BodyBudget;
+use crate::forward::caller_connections::CallerConnections;
 use crate::forward::connection_pool::ConnectionPool;
 use crate::forward_board::ForwardBoard;
 use crate::ids::{PartTag, RouteKey, ServiceId, UpstreamKey};
@@ -66,6 +67,7 @@
     pub telemetry: PrometheusMetrics,
     /// Idle connections to upstreams.
     pub pool: RefCell<ConnectionPool>,
+    pub callers: RefCell<CallerConnections>,
     /// Memory of the response bodies that are being read.
     pub body_budget: BodyBudget,
     upstream_stats: RefCell<HashMap<UpstreamKey, UpstreamStats>>,
@@ -149,6 +151,7 @@
             clock,
             telemetry,
             pool: RefCell::default(),
+            callers: RefCell::default(),
             body_budget: BodyBudget::default(),
             upstream_stats: RefCell::default(),
             retry_windows: RefCell::default(),
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -1,6 +1,6 @@
 //! State that the control thread and the traffic thread of a forwarding router share.
 
-use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -66,6 +66,9 @@
     pub calls_end: watch::Sender<bool>,
     /// Calls in progress; written by the traffic thread.
     pub calls: AtomicUsize,
+    /// Whether no call is in progress and all responses were sent; written by the traffic thread once
+    /// the router is in stage `Closing`.
+    pub responses_sent: AtomicBool,
     load_reports: Mutex<LatestLoads>,
     suspect_parts: Mutex<SuspectParts>,
     rate_limits: Mutex<RateLimits>,
@@ -86,6 +89,7 @@
             stop_plan: ArcSwapOption::empty(),
             calls_end: watch::Sender::new(false),
             calls: AtomicUsize::new(0),
+            responses_sent: AtomicBool::new(false),
             load_reports: Mutex::default(),
             suspect_parts: Mutex::default(),
             rate_limits: Mutex::default(),
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -520,7 +520,7 @@
         Some(next.since(self.now()))
     }
 
-    /// Advances a requested stop. Returns true once all calls have finished or the stop grace is
+    /// Advances a requested stop. Returns true once all responses were sent or the stop grace is
     /// nearly used up.
     pub fn advance_stop(&mut self) -> bool {
         let Some(plan) = self.stop_plan else {
@@ -539,7 +539,8 @@
             });
         }
         let closing = self.board.stage() == ForwardStage::Closing;
-        (closing && calls == 0) || now >= plan.ends_at()
+        let sent = self.board.responses_sent.load(Ordering::Relaxed);
+        (closing && sent) || now >= plan.ends_at()
     }
 
     /// Reads the settings again and applies those that may change while the process runs.
