Refuse fewer calls in a stop: by quantiles, and for 2.65 s

Callers saw, with the admission as it was first: streams that would have been answered were refused by a stopping router, and came back to it or to others that stopped too.

Cause: the longest of the latest 64 calls and half as much again was asked for. One long call then refused nearly all. Besides, the front now closed exactly 2.4 s after SIGTERM; it had been up to a tick of 0.25 s later, and callers with an outdated address found it closed.

Change: the 0.98 quantile of the latest 128 calls for calls that may not be repeated, the 0.9 quantile for others; half as much again only where too few calls were measured; calls are taken for 2.65 s.

--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -53,10 +53,6 @@
 /// Minimum value of `retry-after` for a service whose upstreams set limits.
 const MIN_LIMIT_WAIT: Duration = Duration::from_millis(100);
 
-/// Quantile of the times of a route's calls within which a call that may be repeated is expected to
-/// end.
-const REPEATABLE_QUANTILE: f64 = 0.9;
-
 /// State of a traffic thread, shared by its calls.
 pub struct TrafficState<D> {
     /// Reads and writes the HTTP heads.
@@ -211,20 +207,10 @@
         let Some(plan) = self.board.stop_plan.load_full() else {
             return true;
         };
-        let quantile = if route.kind.repeatable() {
-            REPEATABLE_QUANTILE
-        } else {
-            1.0
-        };
         let call_times = self.call_times.borrow();
         let times = call_times.get(&route.name.key());
         let now = self.now();
-        let need = CallNeed {
-            kind: route.kind,
-            limit: deadline.since(now),
-            target: route.target,
-            measured: times.and_then(|times| times.quantile(quantile)),
-        };
+        let need = CallNeed::new(route, times, deadline, now);
         plan.admits(&need, now)
     }
 
--- a/src/policy/call_times.rs
+++ b/src/policy/call_times.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// Number of calls that are remembered.
-const KEPT_CALLS: usize = 64;
+const KEPT_CALLS: usize = 128;
 
 /// Number of calls below which nothing is said about the next one.
 const MIN_CALLS: usize = 8;
--- a/src/policy/stop_admission.rs
+++ b/src/policy/stop_admission.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use crate::mono::MonoTime;
-use crate::route::CallKind;
+use crate::policy::call_times::CallTimes;
+use crate::route::{CallKind, RouteRule};
 
 /// How long a stopping router accepts new calls: the time to live of a locate response with its
-/// address, and a margin.
-const LEAVING_DURATION: Duration = Duration::from_millis(2400);
+/// address, and a margin for responses under way.
+const LEAVING_DURATION: Duration = Duration::from_millis(2650);
 
 /// Part of the stop grace that is reserved for ending the process, at most a tenth of the grace.
 const END_MARGIN: Duration = Duration::from_millis(400);
@@ -18,6 +19,11 @@
 /// Time that a stream is expected to take, as a multiple of the target of its first event.
 const STREAM_TARGET_MULTIPLE: u32 = 4;
 
+/// Quantile of the times of a route's calls within which a call is expected to end. A call that may
+/// not be repeated is lost if it is cut, but a refused one may come back to routers that stop too.
+const ONCE_QUANTILE: f64 = 0.98;
+const REPEATABLE_QUANTILE: f64 = 0.9;
+
 /// A stop that was requested.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopPlan {
@@ -35,29 +41,51 @@
     pub limit: Duration,
     /// Target latency of the response, or of its first event if it is a stream.
     pub target: Duration,
-    /// Time that calls of this route took lately; `None` if there were too few. For calls that may
-    /// not be repeated it is the longest time.
+    /// Time within which most calls of this route ended lately; `None` if there were too few.
     pub measured: Option<Duration>,
 }
 
 impl CallNeed {
+    /// Returns what is known about a call of `route` that is received at `now`, and whose route's
+    /// latest calls took `times`.
+    pub fn new(
+        route: &RouteRule,
+        times: Option<&CallTimes>,
+        deadline: MonoTime,
+        now: MonoTime,
+    ) -> Self {
+        let quantile = if route.kind.repeatable() {
+            REPEATABLE_QUANTILE
+        } else {
+            ONCE_QUANTILE
+        };
+        Self {
+            kind: route.kind,
+            limit: deadline.since(now),
+            target: route.target,
+            measured: times.and_then(|times| times.quantile(quantile)),
+        }
+    }
+
     /// Returns the time that has to be left for the call.
     fn time(&self) -> Duration {
-        let target_multiple = if self.kind.streams() {
+        self.measured.unwrap_or(self.assumed()).min(self.limit)
+    }
+
+    /// Returns the time that is assumed for the call if too few were measured.
+    fn assumed(&self) -> Duration {
+        let multiple = if self.kind.streams() {
             STREAM_TARGET_MULTIPLE
         } else {
             1
         };
-        let expected = self
-            .measured
-            .unwrap_or(self.target.saturating_mul(target_multiple));
-        // A call that may not be repeated is lost if it is cut, so half as much again must be left.
+        let time = self.target.saturating_mul(multiple);
         let margin = if self.kind.repeatable() {
             Duration::ZERO
         } else {
-            expected / 2
+            time / 2
         };
-        expected.saturating_add(margin).min(self.limit)
+        time.saturating_add(margin)
     }
 }
 
