--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -114,6 +114,28 @@
     has_chunks: bool,
 }
 
+/// Measures the time of a call from its complete request to the end of its response.
+struct CallTimer<D> {
+    state: Rc<TrafficState<D>>,
+    route: Arc<RouteRule>,
+    started: MonoTime,
+}
+
+impl<D: EdgeDialect> CallTimer<D> {
+    fn start(state: Rc<TrafficState<D>>, plan: &CallPlan) -> Self {
+        Self {
+            started: state.now(),
+            route: Arc::clone(&plan.route),
+            state,
+        }
+    }
+
+    fn record(self) {
+        let time = self.state.now().since(self.started);
+        self.state.record_call_time(&self.route, time);
+    }
+}
+
 /// Handles a request and returns the response, whose body may be a stream in progress.
 pub async fn handle_call<D: EdgeDialect>(
     state: Rc<TrafficState<D>>,
@@ -190,8 +212,11 @@
     let grant = authenticate(&table, &route, &head)?;
     let limit = head.timeout.unwrap_or(route.time_limit);
     let deadline = began + limit.min(route.time_limit);
+    check_stop(state, &route, deadline)?;
     let body_bytes = table.limits.body_bytes.0 as usize;
     let body = read_body(state, request.take_payload(), body_bytes, deadline).await?;
+    // The body may have taken most of the time that was left.
+    check_stop(state, &route, deadline)?;
     Ok(CallPlan {
         table,
         route,
@@ -203,6 +228,19 @@
     })
 }
 
+/// Refuses a call that a stopping router could not answer before its end.
+fn check_stop<D: EdgeDialect>(
+    state: &Rc<TrafficState<D>>,
+    route: &RouteRule,
+    deadline: MonoTime,
+) -> Result<(), LocalResponse> {
+    if state.admits(route, deadline) {
+        Ok(())
+    } else {
+        Err(LocalResponse::not_run("router stops before the end"))
+    }
+}
+
 /// Copies the headers of a request. Fails if they exceed the configured size.
 fn copy_request_headers(
     request: &ntex::http::Request,
@@ -249,7 +287,12 @@
     let mut body = BytesMut::new();
     loop {
         let left = deadline.since(state.now());
-        let Ok(chunk) = tokio::time::timeout(left, payload.next()).await else {
+        let next = tokio::time::timeout(left, payload.next());
+        let Ok(chunk) = (tokio::select! {
+            biased;
+            chunk = next => chunk,
+            () = state.board.await_calls_end() => return Err(LocalResponse::not_run("router stops")),
+        }) else {
             return Err(LocalResponse::new(
                 StatusCode::REQUEST_TIMEOUT,
                 "body too slow",
@@ -271,27 +314,51 @@
     }
 }
 
+/// Makes the attempts of a call. A caller without chunks gets a stream as a whole.
+async fn forward_call<D: EdgeDialect>(
+    call: &mut FrontCall<D>,
+    has_chunks: bool,
+) -> Result<UpstreamResponse<D>, CallFailure> {
+    match call.forward().await? {
+        UpstreamResponse::Stream(stream) if !has_chunks => {
+            let response = call.collect_events(*stream).await?;
+            Ok(UpstreamResponse::Full(response))
+        }
+        response => Ok(response),
+    }
+}
+
 async fn serve<D: EdgeDialect>(
     state: &Rc<TrafficState<D>>,
     plan: CallPlan,
     caller: CallerConnection,
     open: OpenCallGuard<D>,
 ) -> Result<FrontResponse, LocalResponse> {
+    let timer = CallTimer::start(Rc::clone(state), &plan);
     let mut call = FrontCall::new(Rc::clone(state), plan);
-    let result = match call.forward().await {
-        Ok(UpstreamResponse::Full(response)) => Ok(response),
-        Ok(UpstreamResponse::Stream(stream)) if caller.has_chunks => {
-            return Ok(stream_response(call, *stream, caller.io, open));
+    let forwarded = tokio::select! {
+        biased;
+        forwarded = forward_call(&mut call, caller.has_chunks) => forwarded,
+        () = state.board.await_calls_end() => {
+            let reason = "router stopped before the upstream answered";
+            let response = LocalResponse::new(StatusCode::BAD_GATEWAY, reason);
+            call.finish("stopped", response.status.as_u16());
+            return Err(response);
         }
-        Ok(UpstreamResponse::Stream(stream)) => call.collect_events(*stream).await,
-        Err(failure) => Err(failure),
     };
-    match result {
-        Ok(response) => {
+    match forwarded {
+        Ok(UpstreamResponse::Full(response)) => {
+            timer.record();
             call.finish("answered", response.status.as_u16());
             Ok(full_response(response))
         }
+        Ok(UpstreamResponse::Stream(stream)) => {
+            Ok(stream_response(call, *stream, caller.io, open, timer))
+        }
         Err(failure) => {
+            if failure == CallFailure::Late {
+                timer.record();
+            }
             let response = LocalResponse::from(failure);
             call.finish(failure_label(failure), response.status.as_u16());
             Err(response)
@@ -323,13 +390,22 @@
     mut stream: OpenStream<D>,
     caller: Option<IoRef>,
     open: OpenCallGuard<D>,
+    timer: CallTimer<D>,
 ) -> FrontResponse {
     let (sender, chunks) = channel(MAX_BUFFERED_CHUNKS);
     let status = stream.status;
     let headers = std::mem::take(&mut stream.headers);
+    let board = Arc::clone(&timer.state.board);
     let task = TaskGuard::spawn(async move {
         let _open = open;
-        let outcome = relay(&mut call, stream, &sender).await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = relay(&mut call, stream, &sender) => outcome,
+            () = board.await_calls_end() => "stopped",
+        };
+        if outcome == "answered" {
+            timer.record();
+        }
         call.finish(outcome, status.as_u16());
     });
     let body = RelayBody::Stream {
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -1,9 +1,10 @@
 //! State that the control thread and the traffic thread of a forwarding router share.
 
-use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use tokio::sync::watch;
 
 use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::forward_settings::ForwardSettings;
@@ -11,6 +12,7 @@
 use crate::policy::leaving_upstreams::LeavingUpstreams;
 use crate::policy::locate_choice::RouterPlace;
 use crate::policy::rate_limits::RateLimits;
+use crate::policy::stop_admission::StopPlan;
 use crate::policy::suspect_work::SuspectWork;
 use crate::route::RouteTable;
 
@@ -22,7 +24,8 @@
     Booting,
     /// Accepts calls; its address is returned to callers.
     Serving,
-    /// Is stopping; still accepts calls, because callers may have cached its address.
+    /// Is stopping; still accepts calls that can be answered before its end, because callers may
+    /// have cached its address.
     Leaving,
     /// Accepts no new calls and finishes those in progress.
     Closing,
@@ -57,8 +60,15 @@
     /// Time up to which this router has all changes of the store, in milliseconds of the process's
     /// clock; 0 before the first read.
     pub store_known_ms: AtomicU64,
+    /// The stop that was requested, if one was.
+    pub stop_plan: ArcSwapOption<StopPlan>,
+    /// Whether the calls in progress are to end, because the stop grace is nearly used up.
+    pub calls_end: watch::Sender<bool>,
     /// Calls in progress; written by the traffic thread.
     pub calls: AtomicUsize,
+    /// Whether no call is in progress and all responses were sent; written by the traffic thread once
+    /// the router is in stage `Closing`.
+    pub responses_sent: AtomicBool,
     load_reports: Mutex<LatestLoads>,
     suspects: Mutex<SuspectWork>,
     rate_limits: Mutex<RateLimits>,
@@ -76,7 +86,10 @@
             serving_routers: ArcSwap::default(),
             fleet_size: AtomicUsize::new(1),
             store_known_ms: AtomicU64::new(0),
+            stop_plan: ArcSwapOption::empty(),
+            calls_end: watch::Sender::new(false),
             calls: AtomicUsize::new(0),
+            responses_sent: AtomicBool::new(false),
             load_reports: Mutex::default(),
             suspects: Mutex::default(),
             rate_limits: Mutex::default(),
@@ -111,6 +124,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits until the calls in progress are to end.
+    pub async fn await_calls_end(&self) {
+        // Fails only if the sender is gone, which `self` holds.
+        let _ = self.calls_end.subscribe().wait_for(|&ends| ends).await;
+    }
+
     pub fn stage(&self) -> ForwardStage {
         ForwardStage::ALL[usize::from(self.stage.load(Ordering::Relaxed))]
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 pub mod boot_refusal;
 pub mod call_attempts;
 pub mod call_exclusions;
+pub mod call_times;
 pub mod engine_pool;
 pub mod fair_queue;
 pub mod latest_loads;
@@ -30,6 +31,7 @@
 pub mod slot_requests;
 pub mod slot_waiters;
 pub mod sound_work;
+pub mod stop_admission;
 pub mod suspect_history;
 pub mod suspect_reports;
 pub mod suspect_work;
