Hold a call after five crashes at two times

Cause: only three different times held a call.

A call is now also held after five crashes at two times. One caller's attempts are in at most four such crashes at routes of two attempts, so a zone that fails twice doesn't hold them; crashes at one time hold nothing. Reports to collectors and other routers carry the crashes that this needs.

The platform tests were run before this change only.

--- a/src/policy/suspect_work.rs
+++ b/src/policy/suspect_work.rs
@@ -33,6 +33,10 @@
 /// Crashes at different times after which a suspect is held.
 const HOLD_CRASHES: usize = 3;
 
+/// Crashes at two different times after which a call is held: more than one caller's attempts can
+/// be in when a zone fails twice.
+const HOLD_CALL_CRASHES: usize = 5;
+
 /// Time between the announcement of a hold to other routers and its begin, in which a router that
 /// knows of an answer to the suspect can object.
 const OBJECTION_TIME: Duration = Duration::from_millis(500);
@@ -305,8 +309,7 @@
         let mut notice = SuspectReports::default();
         for tag in take_some(&mut self.announcements) {
             let history = self.histories.get(&tag);
-            let latest = history.map(|history| history.latest_moments(HOLD_CRASHES));
-            let crashes = latest.into_iter().flatten();
+            let crashes = history.map(evidence).into_iter().flatten();
             let report = |UpstreamCrash { upstream, at }| CrashReport { tag, upstream, at };
             notice.crashes.extend(crashes.map(report));
         }
@@ -330,7 +333,7 @@
             let Some(history) = self.histories.get(&tag) else {
                 continue;
             };
-            let crashes = history.latest_moments(HOLD_CRASHES);
+            let crashes = evidence(history);
             for collector in collectors(tag, routers) {
                 if collector == own {
                     continue;
@@ -466,7 +469,7 @@
         candidates
             .iter()
             .map(|(&tag, crashes)| (count_moments(crashes.iter()), crashes.len(), tag))
-            .filter(|&(moments, ..)| moments >= HOLD_CRASHES)
+            .filter(|&(moments, crashes, tag)| is_enough(tag, moments, crashes))
             .max_by_key(|&(moments, crashes, tag)| (!self.was_answered(tag), moments, crashes, tag))
             .map(|(.., tag)| tag)
     }
@@ -496,6 +499,28 @@
     }
 }
 
+/// Whether these crashes suffice to hold a suspect.
+fn is_enough(tag: SuspectTag, moments: usize, crashes: usize) -> bool {
+    let is_call = matches!(tag, SuspectTag::Call(_));
+    moments >= HOLD_CRASHES || is_call && moments >= REPEAT_CRASHES && crashes >= HOLD_CALL_CRASHES
+}
+
+/// The crashes that other routers need to hold the suspect too.
+fn evidence(history: &SuspectHistory) -> Vec<UpstreamCrash> {
+    let crashes = history.crashes();
+    if history.moments() >= HOLD_CRASHES {
+        return history.latest_moments(HOLD_CRASHES);
+    }
+    if crashes.len() <= HOLD_CALL_CRASHES {
+        return crashes.to_vec();
+    }
+    // The first one is of another time than the latest.
+    let latest = crashes.len() + 1 - HOLD_CALL_CRASHES;
+    std::iter::once(crashes[0])
+        .chain(crashes[latest..].iter().copied())
+        .collect()
+}
+
 /// Removes from `crashes` all but the first that each of `explained` contains.
 fn count_as_one(crashes: &mut Vec<UpstreamCrash>, explained: &[Vec<UpstreamCrash>]) {
     for group in explained {
--- a/tests/suspect_calls.rs
+++ b/tests/suspect_calls.rs
@@ -56,6 +56,23 @@
     assert!(!suspects.may_repeat(&[call_tag(1)]));
 }
 
+/// Five callers send the call at once, twice: no caller's attempts alone are in five crashes.
+#[test]
+fn five_crashes_at_two_times_hold_call() {
+    let mut suspects = SuspectWork::default();
+    for number in 0..5 {
+        let ms = if number < 3 { 2000 } else { 3000 };
+        suspects.record_crash(&[call_tag(1)], UpstreamTag(number), at(ms));
+        assert!(!is_held(&mut suspects, call_tag(1), ms));
+    }
+    assert!(is_held(&mut suspects, call_tag(1), 3600));
+    // Crashes at one time are of VMs that fail together.
+    for number in 10..18 {
+        suspects.record_crash(&[call_tag(2)], UpstreamTag(number), at(4000));
+    }
+    assert!(!is_held(&mut suspects, call_tag(2), 4600));
+}
+
 #[test]
 fn answer_clears_call() {
     let mut suspects = SuspectWork::default();
