Treat an unframed stream without an event as broken off

What callers saw: a stream without length and chunks that sent a comment and then ended in order reached them as 200, complete and without an event; a call that may be resumed was not sent to another upstream. Cause: the check for a stream that ends before its first event looked at the first bytes, and a comment is such. Change: the end of an unframed stream of which the caller has no event is a break, wherever it is read. StreamSource keeps whether its body is framed.

--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -103,6 +103,7 @@
             body,
             reuse,
             reader: self.progress.next_reader(),
+            is_framed: is_framed(&parts.headers),
         };
         if parts.status.is_success() && self.plan.route.kind.streams() {
             let (first, ended) = self.read_events(&mut source, limits).await?;
@@ -110,10 +111,6 @@
                 // The upstream before was not at its end.
                 return Err(AttemptFault::BadAnswer);
             }
-            if ended && !is_framed(&parts.headers) {
-                // A crash of the upstream looks the same.
-                return Err(AttemptFault::Broken);
-            }
             return Ok(UpstreamResponse::Stream(Box::new(OpenStream {
                 status: parts.status,
                 headers: parts.headers,
@@ -125,7 +122,7 @@
         let body = self.read_body(&mut source, limits).await?;
         let ends_unmarked = self.plan.head.method != Method::HEAD
             && parts.status != StatusCode::NO_CONTENT
-            && !is_framed(&parts.headers);
+            && !source.is_framed;
         if body.is_empty() && parts.status.is_success() && ends_unmarked {
             // A crash of the upstream between the head and the body looks the same.
             return Err(AttemptFault::Broken);
@@ -284,7 +281,9 @@
         let started = self.state.now();
         loop {
             let Some(bytes) = self.next_chunk(source, started, limits).await? else {
-                return if source.reader.partial_bytes() > 0 {
+                // Without an event, a crash of the upstream looks the same as an unframed end.
+                let lacks_events = !source.is_framed && !self.progress.has_begun();
+                return if source.reader.partial_bytes() > 0 || lacks_events {
                     Err(AttemptFault::Broken)
                 } else {
                     Ok((EventBatch::default(), true))
--- a/src/forward/front_call/stream_source.rs
+++ b/src/forward/front_call/stream_source.rs
@@ -19,4 +19,6 @@
     pub reuse: ConnectionReuse,
     /// Splits the body into events, if it is a stream.
     pub reader: EventReader,
+    /// Whether the end of the body can be told without the end of the connection.
+    pub is_framed: bool,
 }
