Ask for live routers only when collectors should hear of a call

Cause: the control loop listed all live routers after every event, though crashes of calls are rare. Change: it looks first whether any call awaits its collectors; no decision changes.

--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -198,6 +198,9 @@
 
     /// Returns notices of crashes of calls, each with the address of the router to send it to.
     pub fn take_collections(&mut self) -> Vec<(Vec<u8>, SocketAddr)> {
+        if !self.board.suspects().has_collections() {
+            return Vec::new();
+        }
         let now = self.now();
         let own = self.members.own().address;
         let live = self.members.live(now);
--- a/src/policy/suspect_work.rs
+++ b/src/policy/suspect_work.rs
@@ -316,6 +316,11 @@
         notice
     }
 
+    /// Whether collectors should hear of a call at once.
+    pub fn has_collections(&self) -> bool {
+        !self.uncollected.is_empty()
+    }
+
     /// Returns what each of `routers` should hear at once as a collector: crashes of calls, and
     /// answers after these. `own` is the address of this router.
     pub fn take_collections(
