Hold a crashing part although its neighbours crashed once more

Cause: calls were considered before parts. Change: one order for both kinds, by the crashes that a suspect explains; only a call that has the part, which is one whose crashes are all among the part's, counts as one for it.

--- a/src/policy/suspect_work.rs
+++ b/src/policy/suspect_work.rs
@@ -5,9 +5,9 @@
 //! upstreams is the one that was in several crashes at different times and was not answered
 //! meanwhile. Suspects that were only in crashes that such a one explains are not held.
 //!
-//! Calls are considered before parts, and to a part all crashes that one held call explains count as
-//! one: calls that crash upstreams do not accuse a part that they share by chance, but a part that
-//! crashes upstreams under several calls is held.
+//! To a part, all crashes of one call that has it and could be held itself count as one: calls that
+//! crash upstreams do not accuse a part that they share by chance, but a part that crashes upstreams
+//! under several calls is held.
 //!
 //! Each crash of a call may be seen by another router. Their reports meet at the collectors of the
 //! call, two routers on which all agree.
@@ -422,60 +422,81 @@
 
     /// Finds the suspects to hold, calls before parts.
     fn update_held(&mut self, now: MonoTime) {
-        let candidates = self
+        let mut candidates: CrashLists = self
             .histories
             .iter()
             .filter(|(_, history)| history.crashes().len() >= HOLD_CRASHES)
-            .map(|(&tag, history)| (tag, history.crashes().to_vec()));
-        let (calls, mut parts): (CrashLists, CrashLists) =
-            candidates.partition(|(tag, _)| matches!(tag, SuspectTag::Call(_)));
-        let mut held = BTreeMap::new();
-        let explained = self.hold_explaining(calls, &mut held, now);
-        for crashes in parts.values_mut() {
-            count_as_one(crashes, &explained);
+            .map(|(&tag, history)| (tag, history.crashes().to_vec()))
+            .collect();
+        let calls: Vec<Vec<UpstreamCrash>> = candidates
+            .iter()
+            .filter(|(tag, crashes)| {
+                is_call(**tag) && is_enough(**tag, count_moments(crashes.iter()), crashes.len())
+            })
+            .map(|(_, crashes)| crashes.clone())
+            .collect();
+        for (_, crashes) in candidates.iter_mut().filter(|(tag, _)| !is_call(**tag)) {
+            let raw = crashes.clone();
+            for call in calls.iter().filter(|call| has_all(&raw, call)) {
+                count_as_one(crashes, call);
+            }
         }
-        self.hold_explaining(parts, &mut held, now);
+        let held = self.hold_explaining(candidates, now);
         let is_new = |tag: &&SuspectTag| !self.held.contains_key(*tag);
         self.announcements.extend(held.keys().filter(is_new));
         self.held = held;
     }
 
-    /// Adds to `held` repeatedly the suspect that explains most of the crashes that no other one of
-    /// `candidates` explains. Returns the crashes that each explains.
+    /// Returns repeatedly the suspect that explains most of the crashes that no other one of
+    /// `candidates` explains, and those alike.
     fn hold_explaining(
         &self,
         mut candidates: CrashLists,
-        held: &mut BTreeMap<SuspectTag, HeldSuspect>,
         now: MonoTime,
-    ) -> Vec<Vec<UpstreamCrash>> {
-        let mut all_explained = Vec::new();
+    ) -> BTreeMap<SuspectTag, HeldSuspect> {
+        let mut held = BTreeMap::new();
         while let Some(best) = self.best_candidate(&candidates) {
-            let explained = candidates[&best].clone();
+            let counted = candidates[&best].clone();
             let is_known = self.was_answered(best);
             let alike: Vec<SuspectTag> = candidates
                 .iter()
                 .filter(|(tag, crashes)| {
-                    has_same_crashes(crashes, &explained) && self.was_answered(**tag) == is_known
+                    is_call(**tag) == is_call(best)
+                        && has_same_crashes(crashes, &counted)
+                        && self.was_answered(**tag) == is_known
                 })
                 .map(|(&tag, _)| tag)
                 .collect();
-            held.extend(alike.into_iter().map(|tag| (tag, self.hold(tag, now))));
-            for crashes in candidates.values_mut() {
-                crashes.retain(|crash| !contains(&explained, crash));
+            for tag in alike {
+                candidates.remove(&tag);
+                held.insert(tag, self.hold(tag, now));
+            }
+            let explained = self.histories[&best].crashes();
+            for (tag, crashes) in &mut candidates {
+                // The crashes of a call that has this part are counted as one already.
+                let has_part = is_call(best)
+                    && !is_call(*tag)
+                    && has_all(self.histories[tag].crashes(), explained);
+                if !has_part {
+                    crashes.retain(|crash| !contains(explained, crash));
+                }
             }
-            all_explained.push(explained);
         }
-        all_explained
+        held
     }
 
     /// Returns the suspect with the most crashes at different times. A suspect that no upstream is known
-    /// to have answered comes before all others.
+    /// to have answered comes before all others, and a call before a part that explains no more.
     fn best_candidate(&self, candidates: &CrashLists) -> Option<SuspectTag> {
         candidates
             .iter()
             .map(|(&tag, crashes)| (count_moments(crashes.iter()), crashes.len(), tag))
             .filter(|&(moments, crashes, tag)| is_enough(tag, moments, crashes))
-            .max_by_key(|&(moments, crashes, tag)| (!self.was_answered(tag), moments, crashes, tag))
+            .max_by_key(|&(moments, crashes, tag)| {
+                let all_moments = self.histories[&tag].moments();
+                let is_new = !self.was_answered(tag);
+                (is_new, moments, all_moments, is_call(tag), crashes, tag)
+            })
             .map(|(.., tag)| tag)
     }
 
@@ -504,10 +525,19 @@
     }
 }
 
+fn is_call(tag: SuspectTag) -> bool {
+    matches!(tag, SuspectTag::Call(_))
+}
+
+/// Whether all crashes of a call are among those of a part, as they are if the call has the part.
+fn has_all(part: &[UpstreamCrash], call: &[UpstreamCrash]) -> bool {
+    call.iter().all(|crash| contains(part, crash))
+}
+
 /// Whether these crashes suffice to hold a suspect.
 fn is_enough(tag: SuspectTag, moments: usize, crashes: usize) -> bool {
-    let is_call = matches!(tag, SuspectTag::Call(_));
-    moments >= HOLD_CRASHES || is_call && moments >= REPEAT_CRASHES && crashes >= HOLD_CALL_CRASHES
+    moments >= HOLD_CRASHES
+        || is_call(tag) && moments >= REPEAT_CRASHES && crashes >= HOLD_CALL_CRASHES
 }
 
 /// The crashes that other routers need to hold the suspect too.
@@ -526,13 +556,10 @@
         .collect()
 }
 
-/// Removes from `crashes` all but the first that each of `explained` contains.
-fn count_as_one(crashes: &mut Vec<UpstreamCrash>, explained: &[Vec<UpstreamCrash>]) {
-    for group in explained {
-        let mut is_counted = false;
-        crashes
-            .retain(|crash| !contains(group, crash) || !std::mem::replace(&mut is_counted, true));
-    }
+/// Removes from `crashes` all but the first that `call` contains.
+fn count_as_one(crashes: &mut Vec<UpstreamCrash>, call: &[UpstreamCrash]) {
+    let mut is_counted = false;
+    crashes.retain(|crash| !contains(call, crash) || !std::mem::replace(&mut is_counted, true));
 }
 
 /// The routers at which the crashes of a suspect meet.
--- a/tests/suspect_calls.rs
+++ b/tests/suspect_calls.rs
@@ -112,6 +112,26 @@
     assert!(is_held(&mut suspects, PART, 9000));
 }
 
+/// Other calls crash beside a crashing part, and once more for another reason.
+#[test]
+fn neighbours_of_crashing_part_are_not_held() {
+    let mut suspects = SuspectWork::default();
+    crash(&mut suspects, &[call_tag(1), PART], 3, 2000);
+    for (upstream, ms) in [(90, 4000), (91, 4500)] {
+        let tags = [
+            call_tag(u64::from(upstream)),
+            PART,
+            call_tag(7),
+            call_tag(8),
+        ];
+        suspects.record_crash(&tags, UpstreamTag(upstream), at(ms));
+    }
+    suspects.record_crash(&[call_tag(7), call_tag(8)], UpstreamTag(92), at(6000));
+    assert!(is_held(&mut suspects, PART, 7000));
+    assert!(!is_held(&mut suspects, call_tag(7), 7000));
+    assert!(!is_held(&mut suspects, call_tag(8), 7000));
+}
+
 #[test]
 fn neighbours_of_crashing_call_are_not_held() {
     let mut suspects = SuspectWork::default();
