--- a/src/policy/suspect_work.rs
+++ b/src/policy/suspect_work.rs
@@ -420,7 +420,7 @@
         weakest.and_then(|tag| self.histories.remove(&tag));
     }
 
-    /// Finds the suspects to hold, calls before parts.
+    /// Finds the suspects to hold. To a part, the crashes of each call that has it count as one.
     fn update_held(&mut self, now: MonoTime) {
         let mut candidates: CrashLists = self
             .histories
