--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -3,3 +3,4 @@
 pub mod cut_watch;
 pub mod endless_events;
 pub mod large_bodies;
+pub mod stalled_engines;
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -50,6 +50,7 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -58,6 +59,15 @@
         self.child.id()
     }
 
+    /// Changes `ttl_max_s` in the settings file.
+    pub fn change_settings(&self, ttl_max_s: u32) {
+        let text = fs::read_to_string(&self.settings).expect("settings");
+        let start = text.find("ttl_max_s").expect("the field");
+        let end = start + text[start..].find('\n').expect("its end");
+        let text = format!("{}ttl_max_s = {ttl_max_s}{}", &text[..start], &text[end..]);
+        fs::write(&self.settings, text).expect("settings are written");
+    }
+
     /// Whether the process runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -167,6 +177,7 @@
         name: name.to_owned(),
         front: SocketAddr::from((ip, ports[0])),
         ready: SocketAddr::from((ip, ports[1])),
+        settings: settings.to_owned(),
         child,
     }
 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -49,6 +49,7 @@
     let run = match case.as_str() {
         "cut-watch" => cases::cut_watch::run,
         "large-bodies" => cases::large_bodies::run,
+        "stalled-engines" => cases::stalled_engines::run,
         "endless-events" => cases::endless_events::run,
         _ => {
             eprintln!("unknown case {case}");
