--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -45,6 +46,18 @@
 
 const ZONES: [&str; 3] = ["fes-medina", "meknes-ouest", "tanger-port"];
 
+/// Ids of the processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes, for a run that takes too long.
+pub fn kill_all() {
+    for id in RUNNING.lock().expect("ids").drain(..) {
+        let _ = Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
+    }
+}
+
 /// A running `hawthorn-entry`, which is killed on drop.
 pub struct Entry {
     pub name: String,
@@ -84,6 +97,11 @@
 
     /// Ends the process at once, as the platform does.
     pub fn kill(&mut self) {
+        let id = self.pid();
+        RUNNING
+            .lock()
+            .expect("ids")
+            .retain(|&running| running != id);
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
@@ -173,6 +191,7 @@
         .stderr(errors)
         .spawn()
         .expect("the program starts");
+    RUNNING.lock().expect("ids").push(child.id());
     Entry {
         name: name.to_owned(),
         front: SocketAddr::from((ip, ports[0])),
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -13,10 +13,14 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::{env, fs, panic};
+use std::time::Duration;
+use std::{env, fs, panic, process, thread};
 
 use crate::record::Record;
 
+/// Time after which a run is given up.
+const LONGEST_RUN: Duration = Duration::from_secs(110);
+
 /// What a case gets from the command line.
 pub struct Setup {
     /// The program under test.
@@ -56,6 +60,12 @@
             return ExitCode::from(2);
         }
     };
+    thread::spawn(|| {
+        thread::sleep(LONGEST_RUN);
+        eprintln!("the run takes too long");
+        fleet::kill_all();
+        process::exit(2);
+    });
     let result = panic::catch_unwind(panic::AssertUnwindSafe(|| run(&setup)));
     if env::var("KEEP_LOGS").is_err() {
         let _ = fs::remove_dir_all(&folder);
