End a call at its deadline while bytes are always ready

Cause: the wait for bytes looked at the deadline only if none were ready, the write to the caller not at all; blank lines and comments counted as events; the search for the end of an event went over the whole buffer each time.

Now the deadline is checked before each read and bounds each write, comments are no progress, and the search stops at the end of an event.

--- a/src/forward/event_batch.rs
+++ b/src/forward/event_batch.rs
@@ -1,6 +1,6 @@
 //! Complete events of a response that are on their way to the caller.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 
 /// How event ids follow on each other.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -54,4 +54,22 @@
     pub fn is_empty(&self) -> bool {
         self.bytes.is_empty()
     }
+
+    /// Returns whether the batch contains an event, and not only comments.
+    pub fn has_event(&self) -> bool {
+        self.event_count > 0
+    }
+
+    /// Returns this batch with `comments` before its events.
+    #[must_use]
+    pub fn preceded_by(self, mut comments: BytesMut) -> Self {
+        if comments.is_empty() {
+            return self;
+        }
+        comments.extend_from_slice(&self.bytes);
+        Self {
+            bytes: comments.freeze(),
+            ..self
+        }
+    }
 }
--- a/src/forward/event_reader.rs
+++ b/src/forward/event_reader.rs
@@ -1,11 +1,13 @@
 //! Splits the body of a `text/event-stream` response into complete events.
 
 use bytes::BytesMut;
+use memchr::memchr_iter;
 
 use crate::forward::event_batch::{EventBatch, EventNumbering};
 use crate::policy::call_attempts::AttemptFault;
 
-/// Maximum event size: a body with a longer event is rejected as not being an event stream.
+/// Maximum size of an event, with the comments and blank lines before it. A body with more is
+/// rejected as not being an event stream.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Buffers the bytes of one response and returns its complete events.
@@ -14,6 +16,8 @@
     pending: BytesMut,
     /// Offset in `pending` at which the search for the end of the next event continues.
     search_from: usize,
+    /// Bytes of comments and blank lines that were returned since the last event.
+    skipped: usize,
     last_id: Option<u64>,
     /// Whether events without ids are rejected.
     needs_ids: bool,
@@ -51,8 +55,8 @@
     }
 
     /// Adds bytes and returns all complete events. Event ids that don't increase, a first id that is
-    /// not the required one, a missing id that is needed and an overlong event are an
-    /// [`AttemptFault::BadAnswer`], after which the reader must not be used.
+    /// not the required one, a missing id that is needed, an overlong event and too many comments
+    /// before one are an [`AttemptFault::BadAnswer`], after which the reader must not be used.
     pub fn push(&mut self, bytes: &[u8]) -> Result<EventBatch, AttemptFault> {
         self.pending.extend_from_slice(bytes);
         let mut batch = EventBatch::default();
@@ -75,11 +79,14 @@
             if has_content {
                 batch.event_count += 1;
                 batch.is_numbered = id.is_some();
+                self.skipped = 0;
+            } else {
+                self.skipped += event.len();
             }
             complete = end;
             self.search_from = end;
         }
-        if self.pending.len() - complete > MAX_EVENT_BYTES {
+        if self.skipped + self.pending.len() - complete > MAX_EVENT_BYTES {
             return Err(AttemptFault::BadAnswer);
         }
         self.search_from = self.pending.len().saturating_sub(3).max(complete) - complete;
@@ -87,15 +94,21 @@
         Ok(batch)
     }
 
-    /// Returns the offset after the next blank line, which ends an event.
+    /// Returns the offset after the next blank line, which ends an event. Reads no further than
+    /// that line, so that the time for a buffer grows with its length only.
     fn event_end(&self) -> Option<usize> {
         let rest = &self.pending[self.search_from..];
-        let end = |delimiter: &[u8]| {
-            rest.windows(delimiter.len())
-                .position(|window| window == delimiter)
-                .map(|at| self.search_from + at + delimiter.len())
-        };
-        [end(b"\n\n"), end(b"\r\n\r\n")].into_iter().flatten().min()
+        memchr_iter(b'\n', rest).find_map(|at| {
+            let (before, after) = (&rest[..at], &rest[at + 1..]);
+            let length = if after.starts_with(b"\n") {
+                1
+            } else if before.ends_with(b"\r") && after.starts_with(b"\r\n") {
+                2
+            } else {
+                return None;
+            };
+            Some(self.search_from + at + 1 + length)
+        })
     }
 }
 
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -7,6 +7,7 @@
 use std::borrow::Cow;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 
@@ -296,8 +297,13 @@
         )
     }
 
+    /// Returns the time until the deadline of the call.
+    pub fn time_left(&self) -> Duration {
+        self.plan.deadline.since(self.state.now())
+    }
+
     fn in_time(&self) -> bool {
-        self.state.now() < self.plan.deadline
+        !self.time_left().is_zero()
     }
 
     /// Records a fault of an attempt that began at `started`, and decides whether to retry.
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -103,10 +103,11 @@
             body,
             reuse,
             reader: self.progress.next_reader(),
+            waited: Duration::ZERO,
             is_framed: is_framed(&parts.headers),
         };
         if parts.status.is_success() && self.plan.route.kind.streams() {
-            let (first, ended) = self.read_events(&mut source, limits).await?;
+            let (first, ended) = self.read_first_events(&mut source, limits).await?;
             if ended && self.progress.has_begun() {
                 // The upstream before was not at its end.
                 return Err(AttemptFault::BadAnswer);
@@ -258,8 +259,25 @@
         Ok(request)
     }
 
-    /// Reads until at least one complete event has arrived or the stream has ended. The flag is
-    /// true at the end of the stream.
+    /// Reads until an event has arrived or the stream has ended. Comments before it do not begin
+    /// the response to the caller, so that another upstream can still give all of it.
+    async fn read_first_events(
+        &mut self,
+        source: &mut StreamSource<D>,
+        limits: WaitLimits,
+    ) -> Result<(EventBatch, bool), AttemptFault> {
+        let mut comments = BytesMut::new();
+        loop {
+            let (events, ended) = self.read_events(source, limits).await?;
+            if ended || events.has_event() {
+                return Ok((events.preceded_by(comments), ended));
+            }
+            comments.extend_from_slice(&events.bytes);
+        }
+    }
+
+    /// Reads until at least one complete event or comment has arrived or the stream has ended. The
+    /// flag is true at the end of the stream.
     pub(super) async fn read_events(
         &mut self,
         source: &mut StreamSource<D>,
@@ -278,7 +296,7 @@
         source: &mut StreamSource<D>,
         limits: WaitLimits,
     ) -> Result<(EventBatch, bool), AttemptFault> {
-        let started = self.state.now();
+        let started = self.state.now().saturating_sub(source.waited);
         loop {
             let Some(bytes) = self.next_chunk(source, started, limits).await? else {
                 // Without an event, a crash of the upstream looks the same as an unframed end.
@@ -290,6 +308,11 @@
                 };
             };
             let events = source.reader.push(&bytes)?;
+            source.waited = if events.has_event() {
+                Duration::ZERO
+            } else {
+                self.state.now().since(started)
+            };
             if !events.is_empty() {
                 return Ok((events, false));
             }
@@ -339,7 +362,8 @@
         }
     }
 
-    /// Waits for `future` until the deadline of the call. While the call may be repeated at another
+    /// Waits for `future` until the deadline of the call, after which bytes that are ready are not
+    /// read either. While the call may be repeated at another
     /// upstream, the wait ends earlier: after `limits.silent` if nothing has come from the upstream
     /// since `started`, and after `limits.active` unless calls are queued there.
     async fn wait_for<F: Future>(
@@ -353,6 +377,9 @@
         let mut checks = 0;
         loop {
             let now = self.state.now();
+            if now >= self.plan.deadline {
+                return Err(AttemptFault::Silent);
+            }
             let replaceable = self.attempts.may_repeat()
                 && self.progress.can_continue()
                 && self.state.affordable(&self.service);
@@ -371,10 +398,6 @@
                 output = &mut future => return Ok(output),
                 () = tokio::time::sleep(wait_until.since(now)) => {}
             }
-            let now = self.state.now();
-            if now >= self.plan.deadline {
-                return Err(AttemptFault::Silent);
-            }
             // While calls are queued at the upstream, this one may be among them, so a missing
             // response to it does not show a fault.
             let overdue = checks > 0 && !self.state.is_queued(key);
--- a/src/forward/front_call/stream_source.rs
+++ b/src/forward/front_call/stream_source.rs
@@ -1,5 +1,7 @@
 //! The upstream side of a response that is being read.
 
+use std::time::Duration;
+
 use hyper::body::Incoming;
 
 use crate::dialect::EdgeDialect;
@@ -19,6 +21,8 @@
     pub reuse: ConnectionReuse,
     /// Splits the body into events, if it is a stream.
     pub reader: EventReader,
+    /// How long the call has waited for bytes since the last event. Comments do not end the wait.
+    pub waited: Duration,
     /// Whether the end of the body can be told without the end of the connection.
     pub is_framed: bool,
 }
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -11,6 +11,7 @@
 use ntex::http::{ConnectionType, Payload, Version};
 use ntex::io::IoRef;
 use tokio::sync::mpsc::channel;
+use tokio::time::timeout;
 
 use crate::dialect::{CallHead, EdgeDialect};
 use crate::forward::connection_headers::{connection_options, is_hop_by_hop};
@@ -284,19 +285,20 @@
     limit: usize,
     deadline: MonoTime,
 ) -> Result<Bytes, LocalResponse> {
+    let too_slow = LocalResponse::new(StatusCode::REQUEST_TIMEOUT, "body too slow");
     let mut body = BytesMut::new();
     loop {
         let left = deadline.since(state.now());
-        let next = tokio::time::timeout(left, payload.next());
+        if left.is_zero() {
+            return Err(too_slow);
+        }
+        let next = timeout(left, payload.next());
         let Ok(chunk) = (tokio::select! {
             biased;
             chunk = next => chunk,
             () = state.board.await_calls_end() => return Err(LocalResponse::not_run("router stops")),
         }) else {
-            return Err(LocalResponse::new(
-                StatusCode::REQUEST_TIMEOUT,
-                "body too slow",
-            ));
+            return Err(too_slow);
         };
         match chunk {
             None => return Ok(body.freeze()),
@@ -396,6 +398,7 @@
     let status = stream.status;
     let headers = std::mem::take(&mut stream.headers);
     let board = Arc::clone(&timer.state.board);
+    let unread = caller.clone();
     let task = TaskGuard::spawn(async move {
         let _open = open;
         let outcome = tokio::select! {
@@ -407,6 +410,12 @@
             timer.record();
         }
         call.finish(outcome, status.as_u16());
+        // The HTTP library does not poll the body while the caller reads nothing.
+        if outcome == "unread"
+            && let Some(connection) = unread
+        {
+            connection.terminate();
+        }
     });
     let body = RelayBody::Stream {
         chunks,
@@ -433,8 +442,10 @@
             Err(failure) => return failure_label(failure),
         };
         let ended = matches!(chunk, StreamChunk::End);
-        if sender.send(chunk).await.is_err() {
-            return "caller-left";
+        match timeout(call.time_left(), sender.send(chunk)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return "caller-left",
+            Err(_) => return "unread",
         }
         if ended {
             return "answered";
--- a/src/forward/relay_progress.rs
+++ b/src/forward/relay_progress.rs
@@ -28,7 +28,7 @@
 
     /// Records that a batch goes to the caller and returns its bytes.
     pub fn relay(&mut self, batch: EventBatch) -> Bytes {
-        if batch.event_count > 0 {
+        if batch.has_event() {
             self.last_id = batch.last_id.or(self.last_id);
             self.event_count += batch.event_count;
             self.is_numbered = batch.is_numbered;
--- a/tests/event_reader.rs
+++ b/tests/event_reader.rs
@@ -1,6 +1,8 @@
 //! The event reader must return exactly the complete events of a stream, however the network splits
 //! its bytes, and must reject ids that don't increase.
 
+use std::time::{Duration, Instant};
+
 use hawthornrouter::forward::event_reader::EventReader;
 use hawthornrouter::forward::relay_progress::RelayProgress;
 use proptest::prelude::*;
@@ -126,3 +128,30 @@
     assert_eq!(bytes, ": comment\n\n");
     assert_eq!((progress.last_id(), reader.partial_bytes()), (Some(4), 8));
 }
+
+/// Reads 1 MB of a body in pieces of `size` bytes and returns the shortest time of several tries.
+fn read_time(text: &str, size: usize) -> Duration {
+    let body = text.repeat((1 << 20) / text.len());
+    let tries = (0..7).map(|_| {
+        let start = Instant::now();
+        let mut reader = EventReader::new(None);
+        for piece in body.as_bytes().chunks(size) {
+            reader.push(piece).expect("the body is sound");
+        }
+        start.elapsed()
+    });
+    tries.min().expect("there are tries")
+}
+
+/// Guards against a search that goes over the whole buffer after each event: large pieces must take
+/// no longer than small ones.
+#[test]
+fn time_grows_with_length_only() {
+    for text in ["data: x\n\n", "data: x\r\n\r\n", "\n", ":\n\n"] {
+        let (small, large) = (read_time(text, 4 << 10), read_time(text, 400 << 10));
+        assert!(
+            large < 3 * small,
+            "{text:?}: {small:?} in small pieces, {large:?} in large ones"
+        );
+    }
+}
