Refuse request bodies whose chunk-size line has no end

A caller that sent a chunk extension without end was refused 0.6 to 2.5 s after its time limit (1.5 s), and the traffic thread served nobody else meanwhile: the HTTP library keeps the line, and parses it again from its start with each read.

--- a/src/entry/call_handler.rs
+++ b/src/entry/call_handler.rs
@@ -63,7 +63,7 @@
             );
         }
     };
-    let body = match read_body(payload, target.max_body).await {
+    let body = match read_body(&request, payload, target.max_body).await {
         Ok(body) => body,
         Err(fault) => return rejected(fault.status(), fault.reason()),
     };
--- a/src/entry/chat_handler.rs
+++ b/src/entry/chat_handler.rs
@@ -14,6 +14,7 @@
 use crate::entry::caller_stream::CallerStream;
 use crate::entry::reply::{not_run, refused};
 use crate::entry::{EntryState, authenticate, header};
+use crate::forward::framing_limit::await_overlong_framing;
 use crate::ids::{ChatId, ModelId, RequestId};
 use crate::policy::work_item::WorkItem;
 use crate::register::AccountEntry;
@@ -60,7 +61,7 @@
         );
     };
     let limit = config.bundle.rules.max_body.0 as usize;
-    let body = match read_body(payload, limit).await {
+    let body = match read_body(&request, payload, limit).await {
         Ok(body) => body,
         Err(fault) => return not_run(fault.status(), fault.reason()),
     };
@@ -178,7 +179,11 @@
 }
 
 /// Reads a request body of at most `limit` bytes.
-pub async fn read_body(mut payload: web::types::Payload, limit: usize) -> Result<Bytes, BodyFault> {
+pub async fn read_body(
+    request: &HttpRequest,
+    mut payload: web::types::Payload,
+    limit: usize,
+) -> Result<Bytes, BodyFault> {
     let mut body = ntex::util::BytesMut::new();
     let read = async {
         while let Some(chunk) = payload.recv().await {
@@ -190,9 +195,11 @@
         }
         Ok(())
     };
-    timeout(BODY_TIMEOUT, read)
-        .await
-        .map_err(|_| BodyFault::Broken)??;
+    tokio::select! {
+        biased;
+        read = timeout(BODY_TIMEOUT, read) => read.map_err(|_| BodyFault::Broken)??,
+        () = await_overlong_framing(request.io()) => return Err(BodyFault::Broken),
+    }
     Ok(body.freeze())
 }
 
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -10,6 +10,7 @@
 mod connection_pool;
 pub mod event_batch;
 pub mod event_reader;
+pub mod framing_limit;
 pub mod framing_scan;
 mod front_call;
 pub mod front_handler;
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -15,6 +15,7 @@
 
 use crate::dialect::{CallHead, EdgeDialect};
 use crate::forward::connection_headers::{connection_options, is_hop_by_hop};
+use crate::forward::framing_limit::await_overlong_framing;
 use crate::forward::front_call::FrontCall;
 use crate::forward::http_connection::TaskGuard;
 use crate::forward::relay_body::{RelayBody, StreamChunk};
@@ -215,7 +216,15 @@
     let deadline = began + limit.min(route.time_limit);
     check_stop(state, &route, deadline)?;
     let body_bytes = table.limits.body_bytes.0 as usize;
-    let body = read_body(state, request.take_payload(), body_bytes, deadline).await?;
+    let io = request.io().cloned();
+    let read = read_body(state, request.take_payload(), body_bytes, deadline);
+    let body = tokio::select! {
+        biased;
+        body = read => body?,
+        () = await_overlong_framing(io.as_ref()) => {
+            return Err(LocalResponse::new(StatusCode::BAD_REQUEST, "body without chunks"));
+        }
+    };
     // The body may have taken most of the time that was left.
     check_stop(state, &route, deadline)?;
     Ok(CallPlan {
