Decide in one place which failures of the store hinder renewals

Cause: each failed request counted as an outage in which entries expire, the outage ended only with the first response to a request that waits, and the end of the use was looked at on a tick.

The tests of restored stores and outages pass unchanged, but for the kind of failure that they name.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,6 +7,7 @@
 pub mod member_table;
 pub mod pause_detector;
 pub mod peer_view;
+pub mod renewal_outage;
 pub mod store_role;
 pub mod store_stamp;
 pub mod store_view;
--- a/src/fleet/cached_entry.rs
+++ b/src/fleet/cached_entry.rs
@@ -44,6 +44,15 @@
 }
 
 impl EntryState {
+    /// The state of an entry that was removed, but stays in use until this time.
+    pub(super) fn expiring(until: MonoTime, entry: &UpstreamEntry) -> Self {
+        let entry = UpstreamEntry {
+            used_until: Some(until),
+            ..entry.clone()
+        };
+        Self::Expiring(until, Arc::new(entry))
+    }
+
     /// The entry, if calls may use it.
     pub(super) fn usable(&self) -> Option<&Arc<UpstreamEntry>> {
         match self {
--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -11,19 +11,12 @@
 use bytes::Bytes;
 
 use crate::fleet::cached_entry::{CachedEntry, EntryState, ListingVerdict};
+use crate::fleet::renewal_outage::{EXPIRY_GRACE, RenewalOutage, StoreFailure};
 use crate::fleet::store_stamp::{StoreRevision, StoreStamp};
 use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::mono::MonoTime;
 use crate::route::{ConfigVersion, RouteTable};
 
-/// How long an entry that expired during a store outage stays in use after the store is available
-/// again. The store's contract gives upstreams two seconds to register again.
-const EXPIRY_GRACE: Duration = Duration::from_secs(2);
-
-/// A removal this soon after a store failure may be an expiry: the upstream may have been unable to
-/// renew its entry.
-const EXPIRY_WINDOW: Duration = Duration::from_secs(3);
-
 /// How long an entry is not used that a restored store lists though it was removed before. A store
 /// drops entries whose upstreams are gone after three of their check-ins, well within this time.
 const WITHHOLD_SPAN: Duration = Duration::from_secs(10);
@@ -69,6 +62,15 @@
 }
 
 impl StoreChange {
+    /// Returns the change as it holds `span` after it was sent.
+    #[must_use]
+    pub fn aged(mut self, span: Duration) -> Self {
+        if let Self::Removed { grace, .. } = &mut self {
+            *grace = grace.saturating_sub(span);
+        }
+        self
+    }
+
     fn key(&self) -> &str {
         match self {
             Self::Written(item) | Self::Withheld { item, .. } => &item.key,
@@ -146,12 +148,11 @@
     unusable_quota: usize,
     /// Number of entries that can't be decoded and that the merge in progress didn't log.
     unlogged: usize,
-    last_failure: Option<MonoTime>,
-    recovered: Option<MonoTime>,
+    outage: RenewalOutage,
 }
 
 impl<C: DocumentCodec> StoreView<C> {
-    /// Creates an empty view.
+    /// Creates an empty view, for upstreams that serve for two seconds after they are removed.
     pub fn new(codec: C) -> Self {
         Self {
             codec,
@@ -164,11 +165,15 @@
             log_quota: MAX_LOGGED_ENTRIES,
             unusable_quota: MAX_LOGGED_ENTRIES,
             unlogged: 0,
-            last_failure: None,
-            recovered: None,
+            outage: RenewalOutage::default(),
         }
     }
 
+    /// Sets how long upstreams serve after the removal of their entries.
+    pub fn set_drain_time(&mut self, drain_time: Duration) {
+        self.outage.set_drain_time(drain_time);
+    }
+
     /// The state of the store up to which every change has been merged.
     pub fn stamp(&self) -> StoreStamp {
         self.stamp
@@ -213,30 +218,14 @@
         self.entries.values().filter(withheld).count()
     }
 
-    /// Records that the store did not respond or rejected a request, or that a pause of this
-    /// process may have had the same effect.
-    pub fn store_failed(&mut self, now: MonoTime) {
-        self.last_failure = Some(now);
-        self.recovered = None;
+    /// Records a failed request to the store, or a pause of this process.
+    pub fn store_failed(&mut self, failure: StoreFailure, now: MonoTime) {
+        self.outage.record_failure(failure, now);
     }
 
-    /// Records a successful response of the store; the first one after a failure ends the outage.
+    /// Records a successful response of the store, before its content is merged.
     pub fn store_responded(&mut self, now: MonoTime) {
-        if self.last_failure.is_some() && self.recovered.is_none() {
-            self.recovered = Some(now);
-        }
-    }
-
-    /// How much longer an entry that the store reports as removed now stays in use.
-    fn expiry_grace(&self, now: MonoTime) -> Duration {
-        let Some(failure) = self.last_failure else {
-            return Duration::ZERO;
-        };
-        if now.since(failure) > EXPIRY_WINDOW {
-            return Duration::ZERO;
-        }
-        let recovered = self.recovered.unwrap_or(now);
-        EXPIRY_GRACE.saturating_sub(now.since(recovered))
+        self.outage.record_response(now);
     }
 
     /// Records the first read of an era at `base`. If an earlier era was known, the store was
@@ -247,8 +236,7 @@
         }
         self.base = base;
         if self.stamp != StoreStamp::default() {
-            self.last_failure = Some(now);
-            self.recovered = Some(now);
+            self.outage.record_restore(now);
         }
     }
 
@@ -259,7 +247,7 @@
 
     /// Merges a change that the store reported.
     pub fn merge_change(&mut self, change: StoreChange, now: MonoTime) -> MergeEffect {
-        let grace = self.expiry_grace(now);
+        let grace = self.outage.expiry_grace(now);
         match change {
             StoreChange::Removed { key, stamp, .. } => self.remove(&key, stamp, grace, now),
             StoreChange::Written(item) | StoreChange::Withheld { item, .. } => {
@@ -369,7 +357,7 @@
     pub fn merge_snapshot(&mut self, snapshot: StoreSnapshot, now: MonoTime) -> MergeEffect {
         let StoreSnapshot { stamp, items } = snapshot;
         self.begin_era(stamp, now);
-        let grace = self.expiry_grace(now);
+        let grace = self.outage.expiry_grace(now);
         let listed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
         let missing = self.listed_except(&listed, stamp);
         let mut effect = self.merge_page(items, stamp, now);
@@ -626,7 +614,7 @@
         }
         cached.stamp = stamp;
         cached.state = match cached.state.usable() {
-            Some(entry) if !grace.is_zero() => EntryState::Expiring(now + grace, Arc::clone(entry)),
+            Some(entry) if !grace.is_zero() => EntryState::expiring(now + grace, entry),
             _ => EntryState::Removed(now, cached.state.start()),
         };
         if self.may_log_entry() {
@@ -659,7 +647,7 @@
         (ListingVerdict::Doubtful, _) => EntryState::Withheld(now + WITHHOLD_SPAN, value, listed),
         // The copy lacks the later run, which may register again.
         (ListingVerdict::EarlierRun, EntryState::Present(_, Some(entry))) => {
-            EntryState::Expiring(now + EXPIRY_GRACE, Arc::clone(entry))
+            EntryState::expiring(now + EXPIRY_GRACE, entry)
         }
         (ListingVerdict::EarlierRun, EntryState::Withheld(..)) => {
             EntryState::Removed(now, known.start())
--- a/src/fleet/upstream_entry.rs
+++ b/src/fleet/upstream_entry.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::{DataCenterId, ServiceId, UpstreamId, UpstreamStart};
+use crate::mono::MonoTime;
 
 /// Whether an upstream accepts new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -54,9 +55,16 @@
     pub warm_up: Duration,
     /// Tells apart the starts under one id. Without it, they all count as one.
     pub started: Option<StartTime>,
+    /// When calls must no longer use it, if its entry was removed but may only have expired.
+    pub used_until: Option<MonoTime>,
 }
 
 impl UpstreamEntry {
+    /// Returns whether the upstream may be used no longer.
+    pub fn is_over(&self, now: MonoTime) -> bool {
+        self.used_until.is_some_and(|until| until <= now)
+    }
+
     /// Identifies this start of the upstream.
     pub fn start(&self) -> UpstreamStart {
         let started = self.started.unwrap_or_default();
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -309,11 +309,14 @@
 
     /// Returns when the upstream takes a request, by what it has said.
     fn opening(&self, entry: &UpstreamEntry) -> UpstreamOpening {
-        let start = entry.start();
-        if entry.state == ServingState::Draining || self.board.leaving_upstreams().contains(start) {
+        let (start, now) = (entry.start(), self.now());
+        if entry.state == ServingState::Draining
+            || entry.is_over(now)
+            || self.board.leaving_upstreams().contains(start)
+        {
             return UpstreamOpening::Never;
         }
-        UpstreamOpening::After(self.waits.borrow().wait(start, self.now()))
+        UpstreamOpening::After(self.waits.borrow().wait(start, now))
     }
 
     /// Returns how long a caller has to wait until an upstream of `service` takes its call, with a
@@ -405,6 +408,7 @@
                 let key = entry.id.key();
                 let stats = stats_of(key);
                 let is_excluded = entry.state == ServingState::Draining
+                    || entry.is_over(now)
                     || excluded.contains(&key)
                     || declining.contains(&key)
                     || stats.own_calls >= max_own_calls.max(1);
--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -14,7 +14,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc::unbounded_channel;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::error::{RouterError, RouterResult, StepName};
 use crate::fleet::member_table::{GOSSIP_PERIOD, MemberRecord, MemberStage};
@@ -95,8 +95,8 @@
         let stop_wait = state.borrow().stop_wait();
         tokio::select! {
             Some(event) = store_events.recv() => state.borrow_mut().merge_store_event(event),
-            Some((peer, response)) = responses.recv() => {
-                let complete = state.borrow_mut().merge_response(peer, response);
+            Some((peer, took, response)) = responses.recv() => {
+                let complete = state.borrow_mut().merge_response(peer, took, response);
                 // The store task owns the receiver and runs until this loop has ended.
                 let _ = complete.map(|revision| commands.send(StoreCommand::FollowFrom(revision)));
             }
@@ -143,8 +143,10 @@
         if let Some((peer, request)) = request {
             let response_sender = response_sender.clone();
             tokio::task::spawn_local(async move {
+                let asked = Instant::now();
+                let response = fetch_documents(peer, request).await;
                 // Fails only when the control loop has ended and the response is not needed.
-                let _ = response_sender.send((peer, fetch_documents(peer, request).await));
+                let _ = response_sender.send((peer, asked.elapsed(), response));
             });
         }
     }
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet::fetch_plan::FetchPlan;
 use crate::fleet::member_table::{MemberRecord, MemberStage, MemberTable};
+use crate::fleet::renewal_outage::StoreFailure;
 use crate::fleet::store_role::StoreRole;
 use crate::fleet::store_stamp::StoreStamp;
 use crate::fleet::store_view::{DocumentCodec, MAX_LOGGED_ENTRIES, MergeEffect, StoreView};
@@ -86,11 +87,13 @@
         let settings = parts.board.settings.load_full();
         let seeds = settings.seeds.clone();
         let apply_limit = settings.apply_limit;
+        let mut store_view = StoreView::new(codec);
+        store_view.set_drain_time(settings.drain_time);
         Self {
             board: parts.board,
             clock: parts.clock,
             telemetry: parts.telemetry,
-            store_view: StoreView::new(codec),
+            store_view,
             members: MemberTable::new(own, seeds),
             store_role: StoreRole::new(apply_limit),
             fetch_plan: FetchPlan::default(),
@@ -307,17 +310,18 @@
                 spdlog::warn!("store-history-lost", kv: {
                     revision: = stamp.revision, era: = stamp.era
                 });
+                self.store_view.store_failed(StoreFailure::HistoryLost, now);
                 return;
             }
-            StoreEvent::Failed(error) => {
+            StoreEvent::Failed(failure, error) => {
                 if !self.store_unreachable {
                     spdlog::warn!("store-lost", kv: {
-                        reason: = format!("{error:#}"),
+                        reason: = format!("{error:#}"), failure:? = failure,
                         revision: = self.store_view.stamp().revision
                     });
                 }
                 self.store_unreachable = true;
-                self.store_view.store_failed(now);
+                self.store_view.store_failed(failure, now);
                 return;
             }
         };
@@ -417,7 +421,8 @@
         if paused {
             spdlog::warn!("paused", kv: { ms: = elapsed.as_millis() });
             self.store_role.forget();
-            self.store_view.store_failed(now);
+            self.store_view
+                .store_failed(StoreFailure::ProcessPaused, now);
         }
         let effect = self.store_view.tick(now);
         self.publish(effect);
@@ -592,12 +597,14 @@
             retry: settings.retry,
             apply_limit: settings.apply_limit,
             stop_grace: settings.stop_grace,
+            drain_time: settings.drain_time,
             locate_ttl: settings.locate_ttl,
             ..(*before).clone()
         };
         spdlog::info!("settings-reloaded", kv: { cause: = cause });
         self.members.set_seeds(settings.seeds.clone());
         self.store_role.set_apply_limit(settings.apply_limit);
+        self.store_view.set_drain_time(settings.drain_time);
         if let Some(plan) = self.stop_plan {
             self.set_stop_plan(StopPlan {
                 grace: settings.stop_grace,
--- a/src/forward_control/control_state/peer_documents.rs
+++ b/src/forward_control/control_state/peer_documents.rs
@@ -1,6 +1,7 @@
 //! Fetching documents from peers while the store does not deliver them.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use super::ControlState;
 use crate::error::RouterResult;
@@ -93,6 +94,7 @@
     pub fn merge_response(
         &mut self,
         peer: SocketAddrV4,
+        took: Duration,
         response: RouterResult<DocumentResponse>,
     ) -> Option<StoreStamp> {
         let now = self.now();
@@ -104,7 +106,7 @@
                 let changes = response
                     .documents
                     .into_iter()
-                    .map(StoreChange::from)
+                    .map(|document| StoreChange::from(document).aged(took))
                     .collect();
                 let effect = if response.full {
                     self.store_view
--- a/src/forward_control/store_task.rs
+++ b/src/forward_control/store_task.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
+use crate::fleet::renewal_outage::StoreFailure;
 use crate::fleet::store_stamp::{StoreEra, StoreStamp};
 use crate::fleet::store_view::StoreSnapshot;
 use crate::store_source::{StoreAnswer, StoreChanges, StoreFault, StorePage, StoreSource};
@@ -26,6 +27,9 @@
 /// with different waits they tell the others at different times that nothing has changed.
 const MIN_WAIT_SHARE: f64 = 0.6;
 
+/// The same for the first request after a failure, so that the end of an outage is known at once.
+const PROBE_WAIT: Duration = Duration::from_millis(1);
+
 /// Wait after changes, so that a burst of changes takes few requests. Together with the response
 /// time of a slow store, a quarter of a second, it stays well below the two seconds within which a
 /// change must be in force.
@@ -51,7 +55,7 @@
     /// The store has discarded the requested changes; all documents are read again.
     HistoryLost,
     /// A request failed; it is repeated after a wait.
-    Failed(anyhow::Error),
+    Failed(StoreFailure, anyhow::Error),
 }
 
 /// Commands of the control thread to this task.
@@ -105,16 +109,16 @@
         }
     }
 
-    /// Sends the next request; `known` is the last known era.
+    /// Sends the next request; `known` is the last known era. A watch waits for up to `wait`.
     async fn request_next<S: StoreSource>(
         &self,
         source: &mut S,
         known: StoreEra,
+        wait: Duration,
     ) -> StoreAnswer<StoreReply> {
         match self {
             Self::Suspended => std::future::pending().await,
             Self::Following(stamp) => {
-                let wait = WATCH_WAIT.mul_f64(rand::rng().random_range(MIN_WAIT_SHARE..1.0));
                 let answer = source.watch(*stamp, wait).await;
                 answer.and_then(|changes| Ok(StoreReply::Changes(changes)))
             }
@@ -167,10 +171,16 @@
     let mut position = StorePosition::start();
     let mut era = StoreEra::default();
     let mut backoff = INITIAL_BACKOFF;
+    let mut has_failed = false;
     loop {
+        let wait = if has_failed {
+            PROBE_WAIT
+        } else {
+            WATCH_WAIT.mul_f64(rand::rng().random_range(MIN_WAIT_SHARE..1.0))
+        };
         let following = matches!(position, StorePosition::Following(_));
         let outcome = {
-            let mut request = pin!(position.request_next(&mut source, era));
+            let mut request = pin!(position.request_next(&mut source, era, wait));
             loop {
                 tokio::select! {
                     result = &mut request => break Ok(result),
@@ -194,6 +204,10 @@
             }
         };
         let mut result = answer.result;
+        let failure = match &result {
+            Err(StoreFault::WatchCut(_)) => StoreFailure::WatchCut,
+            _ => StoreFailure::Unavailable,
+        };
         if answer.era < era {
             let error = anyhow::anyhow!("response of era {}, era {era} is known", answer.era);
             result = Err(StoreFault::Failed(error));
@@ -208,6 +222,7 @@
                 result = result.and(Err(StoreFault::HistoryLost));
             }
         }
+        has_failed = false;
         let (event, pause) = match result {
             Ok(reply) => {
                 backoff = INITIAL_BACKOFF;
@@ -225,10 +240,11 @@
                 let pause = REREAD_DELAY.mul_f64(rand::rng().random_range(1.0..3.0));
                 (StoreEvent::HistoryLost, pause)
             }
-            Err(StoreFault::Failed(error)) => {
+            Err(StoreFault::WatchCut(error) | StoreFault::Failed(error)) => {
+                has_failed = true;
                 let pause = backoff.mul_f64(rand::rng().random_range(0.5..1.0));
                 backoff = (backoff * 2).min(MAX_BACKOFF);
-                (StoreEvent::Failed(error), pause)
+                (StoreEvent::Failed(failure, error), pause)
             }
         };
         if events.send(event).is_err() {
--- a/src/forward_settings.rs
+++ b/src/forward_settings.rs
@@ -40,6 +40,8 @@
     pub apply_limit: Duration,
     /// Time between the stop signal and the forced end of the process.
     pub stop_grace: Duration,
+    /// How long an upstream serves after the removal of its entry.
+    pub drain_time: Duration,
     /// Longest time for which callers may cache a locate response.
     pub locate_ttl: Duration,
 }
--- a/src/store_source.rs
+++ b/src/store_source.rs
@@ -11,6 +11,8 @@
 pub enum StoreFault {
     /// The store has discarded the requested changes; all documents must be read again.
     HistoryLost,
+    /// The connection closed while the store had nothing to report.
+    WatchCut(anyhow::Error),
     /// The store refused the request, did not respond, or its response was invalid.
     Failed(anyhow::Error),
 }
@@ -19,7 +21,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::HistoryLost => f.write_str("the store has discarded the requested changes"),
-            Self::Failed(error) => write!(f, "{error:#}"),
+            Self::WatchCut(error) | Self::Failed(error) => write!(f, "{error:#}"),
         }
     }
 }
--- a/tests/restored_fleet.rs
+++ b/tests/restored_fleet.rs
@@ -9,6 +9,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use hawthornrouter::fleet::renewal_outage::StoreFailure;
 use hawthornrouter::fleet::upstream_entry::ServingState;
 use hawthornrouter::route::ConfigVersion;
 use rand::RngExt;
@@ -243,7 +244,7 @@
             let router = router(&mut self.fleet, *address);
             router.paused = false;
             router.role.forget();
-            router.view.store_failed(now);
+            router.view.store_failed(StoreFailure::ProcessPaused, now);
             router.follow = Follow::Read(now);
         }
     }
--- a/tests/store_codec/mod.rs
+++ b/tests/store_codec/mod.rs
@@ -49,5 +49,6 @@
         },
         warm_up: Duration::ZERO,
         started: start.parse().ok(),
+        used_until: None,
     })
 }
--- a/tests/store_fleet/mod.rs
+++ b/tests/store_fleet/mod.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use hawthornrouter::fleet::fetch_plan::{DocumentState, FetchContext, FetchPlan};
 use hawthornrouter::fleet::member_table::{GOSSIP_PERIOD, MemberRecord, MemberStage, MemberTable};
+use hawthornrouter::fleet::renewal_outage::StoreFailure;
 use hawthornrouter::fleet::store_role::{StoreReport, StoreRole};
 use hawthornrouter::fleet::store_stamp::{StoreEra, StoreStamp};
 use hawthornrouter::fleet::store_view::{StoreChange, StoreItem, StoreSnapshot, StoreView};
@@ -288,7 +289,7 @@
             // The store is gone: its connections break.
             Follow::Wait(_) | Follow::Watch(_) | Follow::Read(_) if self.store.down => {
                 router.store_failed = true;
-                router.view.store_failed(now);
+                router.view.store_failed(StoreFailure::Unavailable, now);
                 let reads = matches!(router.follow, Follow::Read(_));
                 let until = now + backoff;
                 router.follow = if reads {
@@ -333,7 +334,7 @@
                     router.follow = Follow::Wait(now + delay);
                 } else if now >= until {
                     router.store_failed = true;
-                    router.view.store_failed(now);
+                    router.view.store_failed(StoreFailure::Unavailable, now);
                     router.follow = Follow::Wait(now + CHANGES_DELAY);
                 }
             }
--- a/tests/store_view.rs
+++ b/tests/store_view.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthornrouter::fleet::renewal_outage::StoreFailure;
 use hawthornrouter::fleet::store_stamp::StoreStamp;
 use hawthornrouter::fleet::store_view::{StoreChange, StoreItem, StoreSnapshot, StoreView};
 use hawthornrouter::mono::MonoTime;
@@ -127,7 +128,7 @@
     // Without a store failure, a removal takes effect at once.
     view.merge_change(removed("up/a", 4), NOW);
     assert_eq!(upstream_ids(&view), ["b", "c"]);
-    view.store_failed(after(1000));
+    view.store_failed(StoreFailure::Unavailable, after(1000));
     view.store_responded(after(2000));
     view.merge_change(removed("up/b", 5), after(2500));
     assert_eq!(
@@ -159,7 +160,7 @@
     for view in [&mut first, &mut second] {
         view.merge_change(written("up/a", "", 1), NOW);
     }
-    first.store_failed(NOW);
+    first.store_failed(StoreFailure::Unavailable, NOW);
     first.merge_change(removed("up/a", 2), NOW);
     let later = NOW + Duration::from_millis(500);
     second.merge_peer(first.changes_since(stamp(1), later), stamp(2), later);
