Refuse the largest response bodies first when memory is short

Beside bodies without end, callers of sound responses above 64 KB got 502: the bodies share 48 MB, and whichever did not fit any more was refused.

--- a/src/forward/body_budget.rs
+++ b/src/forward/body_budget.rs
@@ -40,14 +40,16 @@
 }
 
 impl BodyReservation {
-    /// Extends the reservation to a body of `bytes`. Returns false if the body or the sum of all
-    /// bodies becomes too large.
+    /// Extends the reservation to a body of `bytes`. Returns false if the body becomes too large, or
+    /// larger than what would be left beside it: so the largest bodies are refused first, and the
+    /// others still find room.
     pub fn grow_to(&mut self, bytes: usize) -> bool {
         let counted = bytes.saturating_sub(UNCOUNTED_BYTES).max(self.counted);
-        let reserved = self.budget.reserved.get() - self.counted + counted;
-        let fits = bytes <= MAX_BODY_BYTES && (counted == 0 || reserved <= MAX_TOTAL_BYTES);
+        let others = self.budget.reserved.get() - self.counted;
+        let is_fair = others + 2 * counted <= MAX_TOTAL_BYTES;
+        let fits = bytes <= MAX_BODY_BYTES && (counted == 0 || is_fair);
         if fits {
-            self.budget.reserved.set(reserved);
+            self.budget.reserved.set(others + counted);
             self.counted = counted;
         }
         fits
