Reserve a repeat before an attempt is given up

Cause: the retry budget was read when the wait began, so that many calls were given up for repeats which it no longer covered.

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -5,6 +5,7 @@
 pub mod stream_source;
 
 use std::borrow::Cow;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,6 +52,8 @@
     first_event: Option<MonoTime>,
     /// The latest choice of an upstream, for log lines.
     choice: Option<ChoiceRecord>,
+    /// Whether the next repeat is already counted in the retry budget.
+    has_reserved_repeat: Cell<bool>,
     ended: bool,
 }
 
@@ -80,6 +83,7 @@
             suspect: Vec::new(),
             first_event: None,
             choice: None,
+            has_reserved_repeat: Cell::new(false),
             ended: false,
         }
     }
@@ -325,7 +329,7 @@
             _ => self.suspect.push(key),
         }
         let in_time = self.in_time();
-        let affordable = self.state.affordable(&self.service)
+        let affordable = (self.has_reserved_repeat.get() || self.state.affordable(&self.service))
             && self.progress.can_continue()
             && self.state.board.suspects().may_repeat(&self.suspects);
         let step = self.attempts.record_fault(fault, in_time, affordable);
@@ -340,6 +344,29 @@
         step
     }
 
+    /// Takes the right to repeat the call at another upstream, before the attempt at `key` is given
+    /// up only because nothing has come from it. Returns false if the call can't be repeated: the
+    /// upstream may just be slow, so the attempt must go on.
+    fn reserve_repeat(&self, key: UpstreamKey) -> bool {
+        let can_repeat = self.state.affordable(&self.service)
+            && self.state.board.suspects().may_repeat(&self.suspects)
+            && self.has_alternative(key);
+        if can_repeat {
+            self.state.count_repeat(&self.service);
+            self.has_reserved_repeat.set(true);
+        }
+        can_repeat
+    }
+
+    /// Returns whether an upstream other than `key` can take the call that has not failed it yet.
+    fn has_alternative(&self, key: UpstreamKey) -> bool {
+        let mut excluded = self.excluded.keys();
+        excluded.extend(&self.suspect);
+        excluded.push(key);
+        self.state
+            .has_candidate(&self.plan.table, &self.service, &excluded)
+    }
+
     fn update_choice<F: FnOnce(&mut ChoiceRecord)>(&mut self, change: F) {
         if let Some(choice) = &mut self.choice {
             change(choice);
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -74,7 +74,7 @@
         if self.state.declines(&guard.entry) {
             return Err(AttemptFault::Unsent);
         }
-        if self.attempts.is_repeat() {
+        if self.attempts.is_repeat() && !self.has_reserved_repeat.take() {
             self.state.count_repeat(&self.service);
         }
         let request = self.build_request(&guard)?;
@@ -365,7 +365,8 @@
     /// Waits for `future` until the deadline of the call, after which bytes that are ready are not
     /// read either. While the call may be repeated at another
     /// upstream, the wait ends earlier: after `limits.silent` if nothing has come from the upstream
-    /// since `started`, and after `limits.active` unless calls are queued there.
+    /// since `started`, and after `limits.active` unless calls are queued there. The repeat is
+    /// reserved before, since other calls may use up the retry budget during the wait.
     async fn wait_for<F: Future>(
         &self,
         key: UpstreamKey,
@@ -374,21 +375,19 @@
         future: F,
     ) -> Result<F::Output, AttemptFault> {
         tokio::pin!(future);
+        let repeatable = self.attempts.may_repeat() && self.progress.can_continue();
         let mut checks = 0;
         loop {
             let now = self.state.now();
             if now >= self.plan.deadline {
                 return Err(AttemptFault::Silent);
             }
-            let replaceable = self.attempts.may_repeat()
-                && self.progress.can_continue()
-                && self.state.affordable(&self.service);
             let check_at = match checks {
                 0 => started + limits.silent,
                 1 => started + limits.active,
                 _ => now + limits.active,
             };
-            let wait_until = if replaceable {
+            let wait_until = if repeatable {
                 check_at.min(self.plan.deadline)
             } else {
                 self.plan.deadline
@@ -401,7 +400,8 @@
             // While calls are queued at the upstream, this one may be among them, so a missing
             // response to it does not show a fault.
             let overdue = checks > 0 && !self.state.is_queued(key);
-            if replaceable && (overdue || !self.state.active_after(key, started)) {
+            let is_suspect = overdue || !self.state.active_after(key, started);
+            if repeatable && is_suspect && self.reserve_repeat(key) {
                 return Err(AttemptFault::Silent);
             }
             checks += 1;
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -258,6 +258,21 @@
         })
     }
 
+    /// Returns whether an upstream of `service` that is not in `excluded` can take a call.
+    pub fn has_candidate(
+        &self,
+        table: &RouteTable,
+        service: &ServiceId,
+        excluded: &[UpstreamKey],
+    ) -> bool {
+        let upstreams = self.board.upstreams.load();
+        let members = upstreams.iter().filter(|entry| entry.service == *service);
+        let members: Vec<&Arc<UpstreamEntry>> = members.collect();
+        let candidates = self.candidates(table, service, &members, excluded, &[]);
+        let mut eligibilities = candidates.iter().map(|candidate| candidate.eligibility);
+        eligibilities.any(|eligibility| eligibility != Eligibility::Excluded)
+    }
+
     /// Calls `work` with the rate limits and this router's place in the fleet.
     fn with_rate_limits<T, F>(&self, work: F) -> T
     where
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -177,7 +177,9 @@
     /// Returns whether another upstream may receive the call if the current attempt fails after the
     /// call was written.
     pub fn may_repeat(&self) -> bool {
-        self.kind.repeatable() && self.arrivals + 1 < self.max_arrivals
+        self.kind.repeatable()
+            && self.arrivals + 1 < self.max_arrivals
+            && self.connects + 1 < MAX_CONNECTS
     }
 
     /// Records that the caller was sent events of the stream.
