Reserve no repeat after the deadline of a call

The repeat would be counted in the budget and never made. By reading; the tests of silent upstreams, resumed and slow streams and deadlines pass.

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -348,7 +348,8 @@
     /// up only because nothing has come from it. Returns false if the call can't be repeated: the
     /// upstream may just be slow, so the attempt must go on.
     fn reserve_repeat(&self, key: UpstreamKey) -> bool {
-        let can_repeat = self.state.affordable(&self.service)
+        let can_repeat = self.in_time()
+            && self.state.affordable(&self.service)
             && self.state.board.suspects().may_repeat(&self.suspects)
             && self.has_alternative(key);
         if can_repeat {
--- a/src/forward/front_call/attempt.rs
+++ b/src/forward/front_call/attempt.rs
@@ -363,10 +363,9 @@
     }
 
     /// Waits for `future` until the deadline of the call, after which bytes that are ready are not
-    /// read either. While the call may be repeated at another
-    /// upstream, the wait ends earlier: after `limits.silent` if nothing has come from the upstream
-    /// since `started`, and after `limits.active` unless calls are queued there. The repeat is
-    /// reserved before, since other calls may use up the retry budget during the wait.
+    /// read either. If a repeat at another upstream can be reserved, the wait ends earlier: after
+    /// `limits.silent` if nothing has come from the upstream since `started`, and after
+    /// `limits.active` unless calls are queued there.
     async fn wait_for<F: Future>(
         &self,
         key: UpstreamKey,
@@ -375,6 +374,7 @@
         future: F,
     ) -> Result<F::Output, AttemptFault> {
         tokio::pin!(future);
+        // Whether the retry budget covers a repeat may change until the wait has lasted too long.
         let repeatable = self.attempts.may_repeat() && self.progress.can_continue();
         let mut checks = 0;
         loop {
