--- a/tests/store_view.rs
+++ b/tests/store_view.rs
@@ -169,6 +169,22 @@
     assert!(upstream_ids(&second).is_empty());
 }
 
+/// Guards against a grace period that grows by the time that a peer's response takes.
+#[test]
+fn grace_period_ends_during_transfer() {
+    let mut view = StoreView::new(TextCodec);
+    view.merge_change(written("up/a", "", 1), NOW);
+    let removal = StoreChange::Removed {
+        key: "up/a".to_owned(),
+        stamp: stamp(2),
+        grace: Duration::from_millis(300),
+    };
+    let later = NOW + Duration::from_millis(400);
+    let removal = removal.aged(Duration::from_millis(400));
+    view.merge_peer(vec![removal], stamp(2), later);
+    assert!(upstream_ids(&view).is_empty());
+}
+
 /// Guards against a removal that a router misses because it was behind for longer than its peer
 /// retains removals: it would use a left upstream for good.
 #[test]
