Log and count what becomes of a replaced attempt

Callers lost streams after the upstream that was to take over refused them; log lines showed the failed attempt, but not that a working one had been given up for it. The line `replacement` and the counter `replacements_total` say with which outcome (accepted, refused, failed) a call went to another upstream because nothing came from the first.

--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -115,7 +115,12 @@
                 partial_bytes: 0,
             });
             let entry = Arc::clone(&guard.entry);
-            match self.attempt(guard).await {
+            let is_replacement = self.has_reserved_repeat.get();
+            let result = self.attempt(guard).await;
+            if is_replacement {
+                self.log_replacement(result.as_ref().err().copied(), started);
+            }
+            match result {
                 Ok(response) => return Ok(response),
                 Err(fault) => {
                     self.record_crash(&entry, fault).await;
@@ -344,6 +349,23 @@
         step
     }
 
+    /// Records what became of a call at the upstream that was chosen because nothing came from the
+    /// one before.
+    fn log_replacement(&self, fault: Option<AttemptFault>, started: MonoTime) {
+        let outcome = match fault {
+            None => "accepted",
+            Some(fault) if fault.verdict() == RunVerdict::NotRun => "refused",
+            Some(_) => "failed",
+        };
+        let telemetry = &self.state.telemetry;
+        telemetry.replacements.with_label_values(&[outcome]).inc();
+        spdlog::info!("replacement", kv: {
+            id: = self.request_id(), outcome: = outcome, choice: = self.choice_text(),
+            fault: = fault.map_or("none", AttemptFault::label), events: = self.progress.event_count(),
+            ms: = self.state.now().since(started).as_millis()
+        });
+    }
+
     /// Takes the right to repeat the call at another upstream, before the attempt at `key` is given
     /// up only because nothing has come from it. Returns false if the call can't be repeated: the
     /// upstream may just be slow, so the attempt must go on.
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -27,6 +27,9 @@
     pub connects: IntCounter,
     /// Number of times that a call was sent to one more upstream after a failed attempt.
     pub repeats: IntCounter,
+    /// Number of times that a call was sent to another upstream because nothing came from the one
+    /// that had it, by outcome.
+    pub replacements: IntCounterVec,
     /// Number of calls that were lost without an answer when their upstream crashed.
     pub crashed_calls: IntCounter,
     /// Number of log lines dropped by the rate limits.
@@ -106,6 +109,11 @@
                 "repeats_total",
                 "Calls sent to one more upstream after a failed attempt",
             )?,
+            replacements: counters(
+                "replacements_total",
+                "Calls sent to another upstream because nothing came from the one that had them",
+                &["outcome"],
+            )?,
             crashed_calls: counter(
                 "crashed_calls_total",
                 "Calls without a complete answer when their upstream crashed",
