Do not let a refusal use up the attempts of a call that has run

What callers saw: a stream whose first upstream had failed was cut when the next one was full, though others had room. Cause: an upstream that refuses a call as not executed counted as one of MaxAttempts. What that bounds is the upstreams that run a call. A call that has run can't be refused any more, so a refusal now leaves the attempt to another upstream; connections and the retry budget bound it as before.

--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -177,9 +177,25 @@
     /// Returns whether another upstream may receive the call if the current attempt fails after the
     /// call was written.
     pub fn may_repeat(&self) -> bool {
+        self.allows_beside(1)
+    }
+
+    /// Returns whether another upstream may receive the call if that of the current attempt is gone,
+    /// so that it does not count.
+    pub fn may_repeat_without_current(&self) -> bool {
+        self.allows_beside(0)
+    }
+
+    /// Returns whether another upstream may receive the call if the current attempt and the one that
+    /// is to replace it both fail after the call was written.
+    pub fn may_repeat_replacement(&self) -> bool {
+        self.allows_beside(2)
+    }
+
+    fn allows_beside(&self, open: u32) -> bool {
         self.kind.repeatable()
-            && self.arrivals + 1 < self.max_arrivals
-            && self.connects + 1 < MAX_CONNECTS
+            && self.arrivals + open < self.max_arrivals
+            && self.connects + open < MAX_CONNECTS
     }
 
     /// Records that the caller was sent events of the stream.
@@ -188,6 +204,15 @@
         self.verdict = RunVerdict::Ran;
     }
 
+    /// Records that an attempt ended while another one of the call goes on. It uses up nothing that
+    /// the other one is owed if it ran nothing.
+    pub fn record_beside(&mut self, verdict: RunVerdict) {
+        if verdict != RunVerdict::NotRun {
+            self.arrivals += 1;
+            self.verdict = self.verdict.max(verdict);
+        }
+    }
+
     /// Records a failed attempt and decides the next step.
     ///
     /// `in_time` tells whether the deadline has not passed yet, `affordable` whether the retry
@@ -199,8 +224,12 @@
         affordable: bool,
     ) -> NextStep {
         self.connects += 1;
-        // The wrong instance is not an upstream of the service, so it doesn't count as an arrival.
-        if fault.arrived() && fault != AttemptFault::WrongInstance {
+        // A call that has run can't be refused, so a refusal does not use up its attempts. The wrong
+        // instance is not an upstream of the service.
+        let is_refusal = fault == AttemptFault::NotExecuted
+            && self.verdict != RunVerdict::NotRun
+            && self.is_repeat();
+        if fault.arrived() && !is_refusal && fault != AttemptFault::WrongInstance {
             self.arrivals += 1;
         }
         self.verdict = self.verdict.max(fault.verdict());
