Keep a silent attempt until its replacement is accepted

Cause: FrontCall gave up a silent attempt once a repeat was reserved, that is for a promise; the upstream of the repeat then refused the call, failed or was silent as well, and the attempts were used up. The class: a working attempt is given away before its replacement holds.

Now an attempt owns all that it needs (UpstreamAttempt), and its call owns one or two of them (front_call/replacement.rs, the one place that decides). The silent attempt goes on until the response of the other has begun. A replacement that is refused, fails or shows no sign of life within 300 ms is ended instead; what the first one is owed stays, and nothing is counted if nothing was sent. An upstream that has not answered by then counts as sound if anything came from it since the request; if other calls there are without an answer too, it counts as silent; if nothing is known, a begun stream stays with its first upstream until that has been silent for three seconds, and other calls go over.

Log line `replacement` has two more outcomes, unheard and superseded.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -3,6 +3,7 @@
 //!
 //! [`EdgeDialect`]: crate::dialect::EdgeDialect
 
+mod attempt_record;
 pub mod body_budget;
 pub mod caller_connections;
 mod choice_record;
@@ -21,4 +22,5 @@
 mod spliced_head;
 pub mod traffic_state;
 mod upstream_response;
+mod wait_clock;
 mod wait_limits;
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -1,11 +1,13 @@
 //! One call of a caller: attempts at upstreams until one of them returns a response to pass on.
 
-mod attempt;
 mod crash_check;
+mod replacement;
 pub mod stream_source;
+mod upstream_attempt;
 
 use std::borrow::Cow;
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,22 +15,26 @@
 use bytes::{Bytes, BytesMut};
 
 use crate::dialect::{EdgeDialect, PromptPrefix};
+use crate::forward::attempt_record::AttemptRecord;
 use crate::forward::choice_record::ChoiceRecord;
 use crate::forward::event_batch::EventBatch;
 use crate::forward::relay_progress::RelayProgress;
 use crate::forward::traffic_state::{TrafficState, UpstreamGuard};
 use crate::forward::upstream_response::{CallPlan, FullResponse, OpenStream, UpstreamResponse};
+use crate::forward::wait_clock::WaitClock;
 use crate::forward::wait_limits::WaitLimits;
 use crate::ids::{ServiceId, SuspectTag, UpstreamKey};
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
 use crate::policy::call_exclusions::CallExclusions;
-use crate::route::PriorityRank;
+
+use self::replacement::{AttemptEnd, RunningAttempt};
+use self::upstream_attempt::{AttemptRole, UpstreamAttempt};
 
 /// A call in progress. Dropping it before [`FrontCall::finish`] logs that the caller left.
 pub struct FrontCall<D: EdgeDialect> {
     state: Rc<TrafficState<D>>,
-    plan: CallPlan,
+    plan: Rc<CallPlan>,
     service: ServiceId,
     attempts: CallAttempts,
     /// Upstreams that provably did not run the call. Only a stream that is resumed later chooses them
@@ -50,10 +56,8 @@
     /// What the caller has of the stream.
     progress: RelayProgress,
     first_event: Option<MonoTime>,
-    /// The latest choice of an upstream, for log lines.
-    choice: Option<ChoiceRecord>,
-    /// Whether the next repeat is already counted in the retry budget.
-    has_reserved_repeat: Cell<bool>,
+    /// The attempt that the response to the caller comes from, or the latest one that failed.
+    latest: Option<Rc<AttemptRecord>>,
     ended: bool,
 }
 
@@ -78,12 +82,11 @@
             progress: RelayProgress::new(plan.head.resume_after),
             service,
             state,
-            plan,
+            plan: Rc::new(plan),
             excluded: CallExclusions::default(),
             suspect: Vec::new(),
             first_event: None,
-            choice: None,
-            has_reserved_repeat: Cell::new(false),
+            latest: None,
             ended: false,
         }
     }
@@ -104,35 +107,101 @@
                     _ => failure,
                 });
             };
-            let started = self.state.now();
-            let key = guard.key;
-            self.choice = Some(ChoiceRecord {
-                upstream: guard.entry.id.clone(),
-                load: guard.load,
-                view_age_ms: self.state.store_age_ms(),
-                reused: false,
-                cache_source: None,
-                partial_bytes: 0,
-            });
-            let entry = Arc::clone(&guard.entry);
-            let is_replacement = self.has_reserved_repeat.get();
-            let result = self.attempt(guard).await;
-            if is_replacement {
-                self.log_replacement(result.as_ref().err().copied(), started);
-            }
-            match result {
+            let role = if self.attempts.is_repeat() {
+                AttemptRole::Repeat
+            } else {
+                AttemptRole::First
+            };
+            let attempt = self.new_attempt(guard, role);
+            let running = RunningAttempt {
+                record: Rc::clone(&attempt.record),
+                response: Box::pin(attempt.respond()),
+            };
+            match self.see_through(running, UpstreamAttempt::respond).await {
                 Ok(response) => return Ok(response),
-                Err(fault) => {
-                    self.record_crash(&entry, fault).await;
-                    match self.handle_fault(key, fault, started) {
-                        NextStep::Retry => {}
-                        NextStep::Fail(failure) => return Err(self.declined(failure)),
-                    }
+                Err(NextStep::Retry) => {}
+                Err(NextStep::Fail(failure)) => return Err(self.declined(failure)),
+            }
+        }
+    }
+
+    fn new_attempt(&self, guard: UpstreamGuard<D>, role: AttemptRole) -> UpstreamAttempt<D> {
+        let choice = ChoiceRecord {
+            upstream: guard.entry.id.clone(),
+            load: guard.load,
+            view_age_ms: self.state.store_age_ms(),
+            reused: Cell::new(false),
+            cache_source: guard.cache_source,
+            partial_bytes: Cell::new(0),
+        };
+        let is_replacement = role == AttemptRole::Replacement;
+        let record = AttemptRecord {
+            entry: Arc::clone(&guard.entry),
+            choice,
+            started: self.state.now(),
+            wait: WaitClock::default(),
+            has_fallback: Cell::new(is_replacement),
+        };
+        UpstreamAttempt {
+            state: Rc::clone(&self.state),
+            plan: Rc::clone(&self.plan),
+            service: self.service.clone(),
+            guard,
+            record: Rc::new(record),
+            role,
+            may_repeat: if is_replacement {
+                self.attempts.may_repeat_replacement()
+            } else {
+                self.attempts.may_repeat()
+            },
+            progress: self.progress.clone(),
+        }
+    }
+
+    /// Waits for the response of an attempt, or of the attempt that takes its place.
+    async fn see_through<F, M>(
+        &mut self,
+        mut running: RunningAttempt<F>,
+        respond: M,
+    ) -> Result<UpstreamResponse<D>, NextStep>
+    where
+        F: Future<Output = Result<UpstreamResponse<D>, AttemptFault>>,
+        M: Fn(UpstreamAttempt<D>) -> F,
+    {
+        let limits = WaitLimits::for_first_response(&self.plan.route);
+        loop {
+            let record = Rc::clone(&running.record);
+            self.latest = Some(Rc::clone(&record));
+            let response = running.response.as_mut();
+            match self.supervise(&record, limits, response, &respond).await {
+                AttemptEnd::Ended(Ok(response)) => return Ok(self.receive(record, response)),
+                AttemptEnd::Answered(record, response) => {
+                    return Ok(self.receive(record, response));
+                }
+                AttemptEnd::Replaced(next) => running = next,
+                AttemptEnd::Ended(Err(fault)) => {
+                    // Closes the connection, so that the upstream stops running the call.
+                    drop(running);
+                    self.record_crash(&record.entry, fault).await;
+                    return Err(self.handle_fault(&record, fault));
                 }
             }
         }
     }
 
+    /// Records that the response of an attempt goes to the caller.
+    fn receive(
+        &mut self,
+        record: Rc<AttemptRecord>,
+        response: UpstreamResponse<D>,
+    ) -> UpstreamResponse<D> {
+        self.latest = Some(record);
+        if matches!(response, UpstreamResponse::Full(_)) {
+            self.record_complete();
+        }
+        response
+    }
+
     /// Returns the failure to report for a call that ends with `failure`. If the call did not run and
     /// all upstreams leave or want no requests, it tells the caller when to return.
     fn declined(&self, failure: CallFailure) -> CallFailure {
@@ -161,38 +230,44 @@
                 self.record_complete();
                 if let Some(open) = stream.take() {
                     self.state.record_success(open.source.guard.key);
-                    self.release(open.source);
+                    open.source.release();
                 }
                 return Ok(None);
             }
-            let started = self.state.now();
-            let key = open.source.guard.key;
-            match self
-                .read_events(
-                    &mut open.source,
-                    WaitLimits::for_next_event(&self.plan.route),
-                )
-                .await
-            {
-                Ok((events, ended)) => {
+            let record = Rc::clone(&open.source.record);
+            let limits = WaitLimits::for_next_event(&self.plan.route);
+            let end = {
+                let events = pin!(open.source.read_events());
+                self.supervise(&record, limits, events, UpstreamAttempt::respond)
+                    .await
+            };
+            match end {
+                AttemptEnd::Ended(Ok((events, ended))) => {
                     open.ended = ended;
                     if !events.is_empty() {
                         self.record_sound();
                         return Ok(Some(self.relay(events)));
                     }
                 }
-                Err(fault) => {
+                AttemptEnd::Ended(Err(fault)) => {
                     let fault = fault.after_events();
-                    let entry = Arc::clone(&open.source.guard.entry);
                     // Closes the connection, so that the upstream stops running the call
                     // before another one continues it.
                     *stream = None;
-                    self.record_crash(&entry, fault).await;
-                    match self.handle_fault(key, fault, started) {
+                    self.record_crash(&record.entry, fault).await;
+                    match self.handle_fault(&record, fault) {
                         NextStep::Fail(failure) => return Err(failure),
                         NextStep::Retry => *stream = Some(self.resume().await?),
                     }
                 }
+                AttemptEnd::Answered(record, response) => {
+                    let response = self.receive(record, response);
+                    *stream = Some(continued_stream(response)?);
+                }
+                AttemptEnd::Replaced(next) => {
+                    *stream = None;
+                    *stream = Some(self.resume_with(next, UpstreamAttempt::respond).await?);
+                }
             }
         }
     }
@@ -223,9 +298,23 @@
     /// Continues a stream at another upstream.
     async fn resume(&mut self) -> Result<OpenStream<D>, CallFailure> {
         self.excluded.remove_expired(self.state.now());
-        match self.forward().await? {
-            UpstreamResponse::Stream(open) => Ok(*open),
-            UpstreamResponse::Full(_) => Err(CallFailure::Unknown),
+        continued_stream(self.forward().await?)
+    }
+
+    /// Continues a stream with an attempt that runs already.
+    async fn resume_with<F, M>(
+        &mut self,
+        running: RunningAttempt<F>,
+        respond: M,
+    ) -> Result<OpenStream<D>, CallFailure>
+    where
+        F: Future<Output = Result<UpstreamResponse<D>, AttemptFault>>,
+        M: Fn(UpstreamAttempt<D>) -> F,
+    {
+        match self.see_through(running, respond).await {
+            Ok(response) => continued_stream(response),
+            Err(NextStep::Retry) => self.resume().await,
+            Err(NextStep::Fail(failure)) => Err(failure),
         }
     }
 
@@ -278,7 +367,7 @@
         let account = self.plan.grant.as_ref();
         spdlog::info!("call", kv: {
             id: = self.request_id(), outcome: = outcome, status: = status, kind: = kind,
-            route: = self.plan.route.name, service: = self.service, rank: = self.rank(),
+            route: = self.plan.route.name, service: = self.service, rank: = self.plan.rank(),
             account: = account.map_or("none", |grant| grant.account.as_str()),
             ms: = spent.as_millis(), first_ms: = first.as_millis(),
             events: = self.progress.event_count(), choice: = self.choice_text(),
@@ -292,8 +381,8 @@
     }
 
     fn choice_text(&self) -> String {
-        let choice = self.choice.as_ref();
-        choice.map_or_else(|| "none".to_owned(), ToString::to_string)
+        let latest = self.latest.as_ref();
+        latest.map_or_else(|| "none".to_owned(), |latest| latest.choice.to_string())
     }
 
     fn choose_upstream(&self) -> Option<UpstreamGuard<D>> {
@@ -315,14 +404,18 @@
         !self.time_left().is_zero()
     }
 
-    /// Records a fault of an attempt that began at `started`, and decides whether to retry.
-    fn handle_fault(
-        &mut self,
-        key: UpstreamKey,
-        fault: AttemptFault,
-        started: MonoTime,
-    ) -> NextStep {
-        let silent = !self.state.active_after(key, started);
+    /// Returns whether the upstream of an attempt has sent nothing on any call since the attempt
+    /// began to wait.
+    fn is_silent(&self, record: &AttemptRecord) -> bool {
+        !self
+            .state
+            .active_after(record.key(), record.waiting_since())
+    }
+
+    /// Records the fault of an attempt. Returns whether its upstream is silent.
+    fn record_fault(&mut self, record: &AttemptRecord, fault: AttemptFault) -> bool {
+        let key = record.key();
+        let silent = self.is_silent(record);
         self.state.record_failure(key, fault, silent);
         match fault {
             // An idle connection that closed before the request was written does not show that
@@ -333,72 +426,43 @@
             }
             _ => self.suspect.push(key),
         }
-        let in_time = self.in_time();
-        let affordable = (self.has_reserved_repeat.get() || self.state.affordable(&self.service))
+        silent
+    }
+
+    /// Records the fault of the only attempt that ran, and decides whether to retry.
+    fn handle_fault(&mut self, record: &AttemptRecord, fault: AttemptFault) -> NextStep {
+        let silent = self.record_fault(record, fault);
+        let affordable = self.state.affordable(&self.service)
             && self.progress.can_continue()
             && self.state.board.suspects().may_repeat(&self.suspects);
-        let step = self.attempts.record_fault(fault, in_time, affordable);
-        spdlog::info!("attempt-failed", kv: {
-            id: = self.request_id(), fault: = fault.label(), code:? = fault,
-            verdict:? = self.attempts.verdict(), choice: = self.choice_text(),
-            events: = self.progress.event_count(),
-            partial_bytes: = self.choice.as_ref().map_or(0, |choice| choice.partial_bytes),
-            alone: = silent, in_time: = in_time, affordable: = affordable, next:? = step,
-            ms: = self.state.now().since(started).as_millis(), config: = self.plan.table.version
-        });
+        let step = self
+            .attempts
+            .record_fault(fault, self.in_time(), affordable);
+        self.log_fault(record, fault, silent, &format!("{step:?}"));
         step
     }
 
-    /// Records what became of a call at the upstream that was chosen because nothing came from the
-    /// one before.
-    fn log_replacement(&self, fault: Option<AttemptFault>, started: MonoTime) {
-        let outcome = match fault {
-            None => "accepted",
-            Some(fault) if fault.verdict() == RunVerdict::NotRun => "refused",
-            Some(_) => "failed",
-        };
-        let telemetry = &self.state.telemetry;
-        telemetry.replacements.with_label_values(&[outcome]).inc();
-        spdlog::info!("replacement", kv: {
-            id: = self.request_id(), outcome: = outcome, choice: = self.choice_text(),
-            fault: = fault.map_or("none", AttemptFault::label), events: = self.progress.event_count(),
-            ms: = self.state.now().since(started).as_millis()
+    fn log_fault(&self, record: &AttemptRecord, fault: AttemptFault, silent: bool, next: &str) {
+        spdlog::info!("attempt-failed", kv: {
+            id: = self.request_id(), fault: = fault.label(), code:? = fault,
+            verdict:? = self.attempts.verdict(), choice: = record.choice,
+            events: = self.progress.event_count(),
+            partial_bytes: = record.choice.partial_bytes.get(),
+            alone: = silent, in_time: = self.in_time(),
+            affordable: = self.state.affordable(&self.service), next: = next,
+            ms: = self.state.now().since(record.waiting_since()).as_millis(),
+            config: = self.plan.table.version
         });
     }
+}
 
-    /// Takes the right to repeat the call at another upstream, before the attempt at `key` is given
-    /// up only because nothing has come from it. Returns false if the call can't be repeated: the
-    /// upstream may just be slow, so the attempt must go on.
-    fn reserve_repeat(&self, key: UpstreamKey) -> bool {
-        let can_repeat = self.in_time()
-            && self.state.affordable(&self.service)
-            && self.state.board.suspects().may_repeat(&self.suspects)
-            && self.has_alternative(key);
-        if can_repeat {
-            self.state.count_repeat(&self.service);
-            self.has_reserved_repeat.set(true);
-        }
-        can_repeat
-    }
-
-    /// Returns whether an upstream other than `key` can take the call that has not failed it yet.
-    fn has_alternative(&self, key: UpstreamKey) -> bool {
-        let mut excluded = self.excluded.keys();
-        excluded.extend(&self.suspect);
-        excluded.push(key);
-        self.state
-            .has_candidate(&self.plan.table, &self.service, &excluded)
-    }
-
-    fn update_choice<F: FnOnce(&mut ChoiceRecord)>(&mut self, change: F) {
-        if let Some(choice) = &mut self.choice {
-            change(choice);
-        }
-    }
-
-    fn rank(&self) -> PriorityRank {
-        let account_rank = self.plan.grant.as_ref().and_then(|grant| grant.rank);
-        account_rank.unwrap_or(self.plan.route.rank)
+/// Returns the stream with which a call goes on that has begun as a stream.
+fn continued_stream<D: EdgeDialect>(
+    response: UpstreamResponse<D>,
+) -> Result<OpenStream<D>, CallFailure> {
+    match response {
+        UpstreamResponse::Stream(open) => Ok(*open),
+        UpstreamResponse::Full(_) => Err(CallFailure::Unknown),
     }
 }
 
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -195,6 +195,14 @@
         self.telemetry.repeats.inc();
     }
 
+    /// Takes back the latest repeat, which reached no upstream.
+    pub fn retract_repeat(&self, service: &ServiceId) {
+        let mut retry_windows = self.retry_windows.borrow_mut();
+        if let Some(window) = retry_windows.get_mut(service) {
+            window.retract_repeat();
+        }
+    }
+
     /// Records the time that a call of `route` took from the complete request to its end.
     pub fn record_call_time(&self, route: &RouteRule, time: Duration) {
         let mut call_times = self.call_times.borrow_mut();
@@ -258,21 +266,6 @@
         })
     }
 
-    /// Returns whether an upstream of `service` that is not in `excluded` can take a call.
-    pub fn has_candidate(
-        &self,
-        table: &RouteTable,
-        service: &ServiceId,
-        excluded: &[UpstreamKey],
-    ) -> bool {
-        let upstreams = self.board.upstreams.load();
-        let members = upstreams.iter().filter(|entry| entry.service == *service);
-        let members: Vec<&Arc<UpstreamEntry>> = members.collect();
-        let candidates = self.candidates(table, service, &members, excluded, &[]);
-        let mut eligibilities = candidates.iter().map(|candidate| candidate.eligibility);
-        eligibilities.any(|eligibility| eligibility != Eligibility::Excluded)
-    }
-
     /// Calls `work` with the rate limits and this router's place in the fleet.
     fn with_rate_limits<T, F>(&self, work: F) -> T
     where
@@ -475,6 +468,16 @@
             .is_some_and(|stats| stats.is_queued(now))
     }
 
+    /// Returns whether an upstream that has not answered one call leaves others without an answer,
+    /// though no calls are queued there as far as is known.
+    pub fn is_unheard(&self, upstream: UpstreamKey) -> bool {
+        let now = self.now();
+        let upstream_stats = self.upstream_stats.borrow();
+        upstream_stats.get(&upstream).is_some_and(|stats| {
+            (stats.own_calls > 1 || stats.health.in_backoff(now)) && !stats.is_queued(now)
+        })
+    }
+
     /// Returns whether the upstream sent anything, on any call, after `since`.
     pub fn active_after(&self, upstream: UpstreamKey, since: MonoTime) -> bool {
         let upstream_stats = self.upstream_stats.borrow();
@@ -570,14 +573,27 @@
             .record_success(now);
     }
 
+    /// Records that nothing has come from an upstream, on any call, for too long.
+    pub fn record_silence(&self, upstream: UpstreamKey) {
+        let now = self.now();
+        let mut upstream_stats = self.upstream_stats.borrow_mut();
+        let stats = upstream_stats.entry(upstream).or_default();
+        stats.health.mark_unreachable(now);
+        drop(upstream_stats);
+        self.pool.borrow_mut().close(upstream);
+    }
+
+    /// Counts a failed attempt in the metrics.
+    pub fn count_fault(&self, fault: AttemptFault) {
+        let faults = &self.telemetry.faults;
+        faults.with_label_values(&[fault.label()]).inc();
+    }
+
     /// Records a failed attempt at an upstream. `silent` is true if the upstream sent nothing on any
     /// call since the attempt began; after a timeout it then counts as unreachable.
     pub fn record_failure(&self, upstream: UpstreamKey, fault: AttemptFault, silent: bool) {
         let now = self.now();
-        self.telemetry
-            .faults
-            .with_label_values(&[fault.label()])
-            .inc();
+        self.count_fault(fault);
         let mut upstream_stats = self.upstream_stats.borrow_mut();
         let health = &mut upstream_stats.entry(upstream).or_default().health;
         health.record_fault(fault, silent, now);
--- a/src/forward/upstream_response.rs
+++ b/src/forward/upstream_response.rs
@@ -13,7 +13,7 @@
 use crate::forward::event_batch::EventBatch;
 use crate::forward::front_call::stream_source::StreamSource;
 use crate::mono::MonoTime;
-use crate::route::{AccountGrant, RouteRule, RouteTable};
+use crate::route::{AccountGrant, PriorityRank, RouteRule, RouteTable};
 
 /// An admitted call: its head and body were read, its route found and its key checked.
 pub struct CallPlan {
@@ -31,6 +31,14 @@
     pub deadline: MonoTime,
 }
 
+impl CallPlan {
+    /// Returns the rank of the client account, or else that of the route.
+    pub fn rank(&self) -> PriorityRank {
+        let account_rank = self.grant.as_ref().and_then(|grant| grant.rank);
+        account_rank.unwrap_or(self.route.rank)
+    }
+}
+
 /// A response that was read completely.
 pub struct FullResponse {
     /// Status from the upstream, unchanged.
--- a/src/forward/wait_limits.rs
+++ b/src/forward/wait_limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::mono::MonoTime;
 use crate::route::RouteRule;
 
 /// Share of the route's target time after which an upstream that has sent nothing at all since the
@@ -63,3 +64,44 @@
         }
     }
 }
+
+/// The times at which an attempt is checked for silence.
+#[derive(Clone, Copy, Debug)]
+pub struct SilenceChecks {
+    limits: WaitLimits,
+    /// Start of the wait that is checked.
+    since: Option<MonoTime>,
+    /// Checks of this wait so far.
+    count: u32,
+}
+
+impl SilenceChecks {
+    pub fn new(limits: WaitLimits) -> Self {
+        Self {
+            limits,
+            since: None,
+            count: 0,
+        }
+    }
+
+    /// Returns the time of the next check of a wait that began at `since`.
+    pub fn next_at(&mut self, since: MonoTime, now: MonoTime) -> MonoTime {
+        if self.since.replace(since) != Some(since) {
+            self.count = 0;
+        }
+        match self.count {
+            0 => since + self.limits.silent,
+            1 => since + self.limits.active,
+            _ => now + self.limits.active,
+        }
+    }
+
+    /// Records that the wait was checked.
+    pub fn pass(&mut self) {
+        self.count += 1;
+    }
+
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+}
--- a/src/policy/retry_window.rs
+++ b/src/policy/retry_window.rs
@@ -51,6 +51,11 @@
         self.repeats.push_back(now);
     }
 
+    /// Takes the latest repeat back, which reached no upstream.
+    pub fn retract_repeat(&mut self) {
+        self.repeats.pop_back();
+    }
+
     fn remove_expired(&mut self, terms: &RetryTerms, now: MonoTime) {
         for times in [&mut self.calls, &mut self.repeats] {
             while times
--- a/src/policy/suspect_work.rs
+++ b/src/policy/suspect_work.rs
@@ -257,6 +257,12 @@
         }
     }
 
+    /// Whether one of the suspects is held.
+    pub fn is_held(&self, tags: &[SuspectTag], now: MonoTime) -> bool {
+        let mut held = tags.iter().filter_map(|tag| self.held.get(tag));
+        held.any(|held| held.from <= now)
+    }
+
     /// Whether a call that failed may be repeated: none of its suspects was in a crash before the one
     /// that ended the call.
     pub fn may_repeat(&self, tags: &[SuspectTag]) -> bool {
--- a/standins/src/scripted_engine.rs
+++ b/standins/src/scripted_engine.rs
@@ -5,7 +5,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::{SockRef, Socket};
 
@@ -20,6 +20,8 @@
     pub connection: usize,
     /// Number of the request on its connection, from 0.
     pub request_number: usize,
+    /// When its last byte had been read.
+    pub received_at: Instant,
 }
 
 impl ReceivedRequest {
@@ -109,6 +111,9 @@
     closed_by_caller: usize,
     /// Number of requests for which [`ScriptStep::Repeat`] has sent its bytes at least once.
     repeating: usize,
+    /// Requests whose caller closed the connection during [`ScriptStep::AwaitClose`], with the
+    /// times of it.
+    closings: Vec<(ReceivedRequest, Instant)>,
 }
 
 /// A running engine. Its threads run until the process exits.
@@ -182,6 +187,12 @@
         self.await_record(|record| record.repeating >= count);
     }
 
+    /// Returns the requests whose caller closed the connection during [`ScriptStep::AwaitClose`],
+    /// with the times of it.
+    pub fn closings(&self) -> Vec<(ReceivedRequest, Instant)> {
+        self.with_record(|record| record.closings.clone())
+    }
+
     fn keep(&self, connection: Option<usize>, socket: &Socket) {
         let socket = socket.try_clone().expect("a descriptor is free");
         let mut sockets = self.sockets.lock().unwrap_or_else(PoisonError::into_inner);
@@ -240,6 +251,7 @@
                 body,
                 connection,
                 request_number,
+                received_at: Instant::now(),
             };
             request_number += 1;
             self.with_record(|record| record.requests.push(request.clone()));
@@ -265,7 +277,11 @@
                     ScriptStep::AwaitClose => {
                         // Either kind of close counts, orderly or by reset.
                         let _ = read_message(&mut reader, false);
-                        self.with_record(|record| record.closed_by_caller += 1);
+                        let closing = (request.clone(), Instant::now());
+                        self.with_record(|record| {
+                            record.closed_by_caller += 1;
+                            record.closings.push(closing);
+                        });
                         false
                     }
                     ScriptStep::Close => false,
