Stop the timer of a caller's connection while a call is in progress

What callers saw: a request that they sent on a kept connection just after a long stream got neither an answer nor a refusal. Cause: the HTTP library runs one timer a connection, for the head or for the idle time, and leaves it running during a call. If it ended while a stream was being sent, the connection was closed behind the stream, without notice. A configuration that shortens these times makes it frequent.

--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -149,6 +149,11 @@
         io: request.io().cloned(),
         has_chunks: request.version() >= Version::HTTP_11,
     };
+    // The HTTP library leaves the timer of the head or of the idle time running, and closes the
+    // connection after the response if it ends in the meantime.
+    if let Some(io) = &caller.io {
+        io.stop_timer();
+    }
     let result = match admit(&state, &mut request, began).await {
         Ok(plan) => serve(&state, plan, caller, open).await,
         Err(refusal) => {
