Accept a replacement by its answer alone

Now only the answer accepts a replacement while the first attempt has waited for less than three seconds. After that the first one counts as gone, and whoever has the call keeps it; an upstream that did not answer in time may get the call again, so that a call never has more upstreams than MaxAttempts. Comments of the first upstream no longer end a replacement; they are held back meanwhile. An upstream that refused a call may be asked again after a second. A silence marks an upstream once, and a call that is repeated in vain elsewhere marks none. A retracted repeat is found by its time.

--- a/src/forward/attempt_record.rs
+++ b/src/forward/attempt_record.rs
@@ -17,6 +17,9 @@
     pub wait: WaitClock,
     /// Whether the attempt before this one still runs, so that a failure of this one loses nothing.
     pub has_fallback: Cell<bool>,
+    /// Whether the call is offered to another upstream meanwhile. Only an event ends that, so
+    /// comments are held back.
+    pub is_contested: Cell<bool>,
 }
 
 impl AttemptRecord {
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -43,6 +43,9 @@
     /// Upstreams that may have run the call and failed. They are chosen again only if no other
     /// upstream is left.
     suspect: Vec<UpstreamKey>,
+    /// Upstreams that had the call beside another one and did not answer in time. They may have it
+    /// again without being more upstreams than the route allows.
+    unheard: Vec<UpstreamKey>,
     /// The parts of the prompt that other requests share. `None` if the route's upstreams cache no
     /// prompts.
     prompt: Option<PromptPrefix>,
@@ -85,6 +88,7 @@
             plan: Rc::new(plan),
             excluded: CallExclusions::default(),
             suspect: Vec::new(),
+            unheard: Vec::new(),
             first_event: None,
             latest: None,
             ended: false,
@@ -141,6 +145,7 @@
             started: self.state.now(),
             wait: WaitClock::default(),
             has_fallback: Cell::new(is_replacement),
+            is_contested: Cell::new(false),
         };
         UpstreamAttempt {
             state: Rc::clone(&self.state),
--- a/src/forward/front_call/replacement.rs
+++ b/src/forward/front_call/replacement.rs
@@ -3,6 +3,7 @@
 //! The silent attempt goes on until the response of the other one has begun: its upstream may only be
 //! slow, and the other upstream may refuse the call, fail or be silent as well.
 
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,7 +22,7 @@
 /// after 400 ms counts as run twice.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Silence after which an upstream counts as gone. A sound one may send nothing for a second or so.
+/// Wait after which an upstream counts as gone. A sound one may send nothing for a second or so.
 const MAX_SILENCE: Duration = Duration::from_secs(3);
 
 /// Upstreams that are tried one after the other for a replacement, while none of them receives the
@@ -81,6 +82,22 @@
     }
 }
 
+/// Marks an attempt as contested by another one until it is dropped.
+struct ContestGuard<'a>(&'a Cell<bool>);
+
+impl<'a> ContestGuard<'a> {
+    fn new(is_contested: &'a Cell<bool>) -> Self {
+        is_contested.set(true);
+        Self(is_contested)
+    }
+}
+
+impl Drop for ContestGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
 impl<D: EdgeDialect> FrontCall<D> {
     /// Waits for `current`, the work of the attempt `record`, until the deadline of the call. If
     /// nothing has come from the upstream for `limits.silent`, or for `limits.active` while no calls
@@ -141,10 +158,9 @@
         self.plan.route.kind.repeatable() && self.progress.can_continue()
     }
 
-    /// Returns whether the upstream of an attempt has been silent for so long that it counts as gone.
+    /// Returns whether an attempt has waited for so long that its upstream counts as gone.
     fn is_gone(&self, record: &AttemptRecord) -> bool {
-        let waited = self.state.now().since(record.waiting_since());
-        waited >= MAX_SILENCE && self.is_silent(record)
+        self.state.now().since(record.waiting_since()) >= MAX_SILENCE
     }
 
     /// Offers the call to other upstreams until one receives it. Returns `None` if the first attempt
@@ -176,30 +192,35 @@
         None
     }
 
-    /// Chooses an upstream that the call has not been at, if the call may be repeated now.
-    fn choose_replacement(&self, first: &AttemptRecord) -> Option<UpstreamGuard<D>> {
-        let has_attempts = if self.is_gone(first) {
-            self.attempts.may_repeat_without_current()
-        } else {
-            self.attempts.may_repeat()
-        };
+    /// Chooses an upstream beside that of `first`, if the call may be repeated now. If no other one may
+    /// receive the call and `first` is gone, one that had it is chosen again.
+    fn choose_replacement(&mut self, first: &AttemptRecord) -> Option<UpstreamGuard<D>> {
         let is_sound = {
             let suspects = self.state.board.suspects();
             let now = suspect_time(self.state.now());
             suspects.may_repeat(&self.suspects) && !suspects.is_held(&self.suspects, now)
         };
-        if !has_attempts || !is_sound || !self.in_time() || !self.state.affordable(&self.service) {
+        if !is_sound || !self.in_time() || !self.state.affordable(&self.service) {
             return None;
         }
+        self.excluded.remove_expired(self.state.now());
         let mut excluded = self.excluded.keys();
-        excluded.extend(&self.suspect);
         excluded.push(first.key());
+        if self.attempts.may_repeat() {
+            excluded.extend(&self.suspect);
+        } else if self.unheard.is_empty() || !self.is_gone(first) {
+            return None;
+        } else {
+            let upstreams = self.state.board.upstreams.load();
+            let keys = upstreams.iter().map(|entry| entry.id.key());
+            excluded.extend(keys.filter(|key| !self.unheard.contains(key)));
+        }
         self.state
             .pick(&self.plan.table, &self.service, self.prompt, &excluded, &[])
     }
 
     /// Waits until one of two attempts is left, for [`ACCEPT_TIMEOUT`] at most after the second one
-    /// was sent.
+    /// was sent. Then the first one is kept, unless it has waited for too long.
     async fn offer<T, C, F>(
         &mut self,
         first: &AttemptRecord,
@@ -211,6 +232,7 @@
         F: Future<Output = Result<UpstreamResponse<D>, AttemptFault>>,
     {
         let first_since = first.wait.since();
+        let _contest = ContestGuard::new(&first.is_contested);
         loop {
             let sent = second.record.wait.sent();
             let due = sent.map_or(self.plan.deadline, |sent| sent + ACCEPT_TIMEOUT);
@@ -226,7 +248,7 @@
                 () = second.record.wait.changed() => {}
                 () = tokio::time::sleep(wait) => {
                     let has_moved = first.wait.since() != first_since;
-                    if !has_moved && self.in_time() && self.seems_sound(&second.record, first) {
+                    if sent.is_some() && !has_moved && self.in_time() && self.is_gone(first) {
                         return OfferEnd::Decided(self.accept(first, second));
                     }
                     self.log_replacement(&second.record, ReplacementOutcome::Unheard, None);
@@ -237,25 +259,6 @@
         }
     }
 
-    /// Returns whether an upstream that has not answered within [`ACCEPT_TIMEOUT`] seems to work on
-    /// the call: one that is full refuses at once, and a long prompt takes longer.
-    ///
-    /// Without a sign, a stream that the caller has a part of stays where it began.
-    fn seems_sound(&self, second: &AttemptRecord, first: &AttemptRecord) -> bool {
-        let Some(sent) = second.wait.sent() else {
-            return false;
-        };
-        let key = second.key();
-        if self.state.active_after(key, sent) {
-            return true;
-        }
-        if self.state.is_unheard(key) {
-            self.state.record_silence(key);
-            return false;
-        }
-        !self.progress.has_begun() || self.is_gone(first)
-    }
-
     /// Ends an offer because the first attempt has ended: the second one goes on only if the first
     /// one failed.
     async fn end_by_first<T, F>(
@@ -270,6 +273,8 @@
                 self.end_unfinished(&second.record);
                 AttemptEnd::Ended(Ok(value))
             }
+            // Whether the call is repeated is decided as if there were no other attempt.
+            Err(fault) if second.record.wait.sent().is_none() => AttemptEnd::Ended(Err(fault)),
             Err(fault) => {
                 self.record_crash(&first.entry, fault).await;
                 self.log_replacement(&second.record, ReplacementOutcome::Accepted, None);
@@ -311,7 +316,7 @@
         }
     }
 
-    /// Gives the first attempt up for the second one, whose upstream works.
+    /// Gives the first attempt up for the second one, which goes on.
     fn accept<T, F>(
         &mut self,
         first: &AttemptRecord,
@@ -351,8 +356,10 @@
 
     /// Records that an attempt is ended before its upstream has answered.
     fn end_unfinished(&mut self, record: &AttemptRecord) {
-        if record.wait.sent().is_some() {
-            self.suspect.push(record.key());
+        let key = record.key();
+        if record.wait.sent().is_some() && !self.unheard.contains(&key) {
+            self.unheard.push(key);
+            self.suspect.push(key);
             self.attempts.record_beside(RunVerdict::MayHaveRun);
         }
     }
--- a/src/forward/front_call/stream_source.rs
+++ b/src/forward/front_call/stream_source.rs
@@ -30,6 +30,8 @@
     pub reuse: ConnectionReuse,
     /// Splits the body into events, if it is a stream.
     pub reader: EventReader,
+    /// Comments that are held back while the call is offered to another upstream.
+    pub held: BytesMut,
     /// How long the call has waited for bytes since the last event. Comments do not end the wait.
     pub waited: Duration,
     /// Whether the end of the body can be told without the end of the connection.
@@ -80,7 +82,8 @@
                 return if self.reader.partial_bytes() > 0 || lacks_events {
                     Err(AttemptFault::Broken)
                 } else {
-                    Ok((EventBatch::default(), true))
+                    let held = std::mem::take(&mut self.held);
+                    Ok((EventBatch::default().preceded_by(held), true))
                 };
             };
             let events = self.reader.push(&bytes)?;
@@ -90,9 +93,11 @@
             } else {
                 self.state.now().since(self.record.waiting_since())
             };
-            if !events.is_empty() {
-                return Ok((events, false));
+            if events.has_event() || !events.is_empty() && !self.record.is_contested.get() {
+                let held = std::mem::take(&mut self.held);
+                return Ok((events.preceded_by(held), false));
             }
+            self.held.extend_from_slice(&events.bytes);
         }
     }
 
--- a/src/forward/front_call/upstream_attempt.rs
+++ b/src/forward/front_call/upstream_attempt.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -96,13 +96,14 @@
         if self.state.declines(&self.guard.entry) {
             return Err(AttemptFault::Unsent);
         }
-        self.count_repeat()?;
         let request = self.build_request()?;
-        self.record.wait.record_sent(self.state.now());
+        let sent = self.state.now();
+        self.count_repeat()?;
+        self.record.wait.record_sent(sent);
         let response = connection.send(request, self.plan.body.len()).await;
         let response = response.inspect_err(|&fault| {
             if fault == AttemptFault::Unsent && self.role != AttemptRole::First {
-                self.state.retract_repeat(&self.service);
+                self.state.retract_repeat(&self.service, self.state.now());
             }
         })?;
         self.check_response(&connection, &response)?;
@@ -136,6 +137,7 @@
             body,
             reuse,
             reader: self.progress.next_reader(),
+            held: BytesMut::new(),
             waited: Duration::ZERO,
             is_framed: is_framed(&parts.headers),
             has_begun: self.progress.has_begun(),
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -195,11 +195,11 @@
         self.telemetry.repeats.inc();
     }
 
-    /// Takes back the latest repeat, which reached no upstream.
-    pub fn retract_repeat(&self, service: &ServiceId) {
+    /// Takes back the repeat that was counted at `at`, which reached no upstream.
+    pub fn retract_repeat(&self, service: &ServiceId, at: MonoTime) {
         let mut retry_windows = self.retry_windows.borrow_mut();
         if let Some(window) = retry_windows.get_mut(service) {
-            window.retract_repeat();
+            window.retract_repeat(at);
         }
     }
 
@@ -468,16 +468,6 @@
             .is_some_and(|stats| stats.is_queued(now))
     }
 
-    /// Returns whether an upstream that has not answered one call leaves others without an answer,
-    /// though no calls are queued there as far as is known.
-    pub fn is_unheard(&self, upstream: UpstreamKey) -> bool {
-        let now = self.now();
-        let upstream_stats = self.upstream_stats.borrow();
-        upstream_stats.get(&upstream).is_some_and(|stats| {
-            (stats.own_calls > 1 || stats.health.in_backoff(now)) && !stats.is_queued(now)
-        })
-    }
-
     /// Returns whether the upstream sent anything, on any call, after `since`.
     pub fn active_after(&self, upstream: UpstreamKey, since: MonoTime) -> bool {
         let upstream_stats = self.upstream_stats.borrow();
@@ -578,6 +568,10 @@
         let now = self.now();
         let mut upstream_stats = self.upstream_stats.borrow_mut();
         let stats = upstream_stats.entry(upstream).or_default();
+        if stats.health.in_backoff(now) {
+            // Another call has found the same.
+            return;
+        }
         stats.health.mark_unreachable(now);
         drop(upstream_stats);
         self.pool.borrow_mut().close(upstream);
--- a/src/forward/wait_limits.rs
+++ b/src/forward/wait_limits.rs
@@ -22,6 +22,9 @@
 /// upstream.
 const GAP_TARGET_MULTIPLE: f64 = 1.5;
 
+/// Lower bound of the time between two checks of a wait.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Target gap between two events of a stream whose route sets none.
 const DEFAULT_GAP_TARGET: Duration = Duration::from_millis(800);
 
@@ -92,7 +95,7 @@
         match self.count {
             0 => since + self.limits.silent,
             1 => since + self.limits.active,
-            _ => now + self.limits.active,
+            _ => now + self.limits.active.max(MIN_CHECK_INTERVAL),
         }
     }
 
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -180,12 +180,6 @@
         self.allows_beside(1)
     }
 
-    /// Returns whether another upstream may receive the call if that of the current attempt is gone,
-    /// so that it does not count.
-    pub fn may_repeat_without_current(&self) -> bool {
-        self.allows_beside(0)
-    }
-
     /// Returns whether another upstream may receive the call if the current attempt and the one that
     /// is to replace it both fail after the call was written.
     pub fn may_repeat_replacement(&self) -> bool {
--- a/src/policy/retry_window.rs
+++ b/src/policy/retry_window.rs
@@ -51,9 +51,11 @@
         self.repeats.push_back(now);
     }
 
-    /// Takes the latest repeat back, which reached no upstream.
-    pub fn retract_repeat(&mut self) {
-        self.repeats.pop_back();
+    /// Takes back a repeat that was recorded at `at` and reached no upstream.
+    pub fn retract_repeat(&mut self, at: MonoTime) {
+        if let Some(index) = self.repeats.iter().rposition(|&repeat| repeat <= at) {
+            self.repeats.remove(index);
+        }
     }
 
     fn remove_expired(&mut self, terms: &RetryTerms, now: MonoTime) {
--- a/tests/call_attempts.rs
+++ b/tests/call_attempts.rs
@@ -112,5 +112,4 @@
         !attempts.may_repeat(),
         "two upstreams may have run the call"
     );
-    assert!(attempts.may_repeat_without_current());
 }
