Hold work after a pause until the newest revision is in force

After a pause, the control thread held work back until it had heard of the configuration again, from the configuration service or a peer. A manifest or digest that named a newer revision ended the wait at once, before the parts had arrived, so a request could run on an engine that was removed during the pause.

Now a newer revision ends the wait when it is in force, or when it can't be put in force.

--- a/src/control/config_controller.rs
+++ b/src/control/config_controller.rs
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Whether parts of a newer manifest were requested from a peer and have not arrived yet.
+    pub fn awaits_parts(&self, peer: VmKey) -> bool {
+        self.pending_manifests.contains_key(&peer)
+    }
+
     /// Sends the requested parts of the configuration in force to a peer.
     pub fn send_parts(&self, request: PartsRequest, mailbox: &PeerMailbox) {
         let Some(config) = self.state.accepted() else {
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -212,9 +212,10 @@
                 let verdict = self.parts.config.consider(&fetched.manifest);
                 if !matches!(verdict, ManifestVerdict::Fetch(_)) {
                     self.parts.config.mark_service_checked();
+                    // A newer revision is not in force before its parts are fetched.
+                    self.pause_detector
+                        .refreshed(RefreshKind::Revision, fetched.requested_at);
                 }
-                self.pause_detector
-                    .refreshed(RefreshKind::Revision, fetched.requested_at);
                 let _ = fetched.reply.send(verdict);
             }
             ControlEvent::Parts(fetched) => {
@@ -227,6 +228,8 @@
                 {
                     self.apply_config();
                 }
+                self.pause_detector
+                    .refreshed(RefreshKind::Revision, fetched.requested_at);
             }
             ControlEvent::ConfigUnchanged {
                 requested_at,
@@ -325,8 +328,12 @@
         let board = Arc::clone(&self.parts.board);
         match body {
             PeerBody::Digest(digest) => {
+                let is_newer = digest.revision > self.parts.config.state().revision().0;
                 self.handle_digest(now, name, digest, mailbox);
-                self.pause_detector.refreshed(RefreshKind::Revision, opened);
+                // A newer revision is not in force before the peer has sent it.
+                if !is_newer {
+                    self.pause_detector.refreshed(RefreshKind::Revision, opened);
+                }
             }
             PeerBody::SlotRequest(request) => self.handle_slot_request(now, peer, request, mailbox),
             PeerBody::SlotReply(reply) => self.handle_slot_reply(now, peer, reply),
@@ -370,12 +377,16 @@
                 {
                     self.apply_config();
                 }
+                if !self.parts.config.awaits_parts(peer) {
+                    self.pause_detector.refreshed(RefreshKind::Revision, opened);
+                }
             }
             PeerBody::PartsRequest(request) => self.parts.config.send_parts(request, mailbox),
             PeerBody::PartsReply(reply) => {
                 if self.parts.config.handle_peer_parts(&board, peer, reply) {
                     self.apply_config();
                 }
+                self.pause_detector.refreshed(RefreshKind::Revision, opened);
             }
             PeerBody::Ledger(handover) => {
                 let life = self
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -90,6 +90,8 @@
 pub struct FetchedParts {
     /// The manifest that lists the parts.
     pub manifest: ConfigManifest,
+    /// When the manifest was requested; the content is at least as recent.
+    pub requested_at: MonoTime,
     pub parts: PartsByDigest,
 }
 
--- a/src/feeds.rs
+++ b/src/feeds.rs
@@ -164,8 +164,11 @@
             return Some(());
         };
         let parts = self.fetch_parts(missing).await?;
-        self.control
-            .send(ControlEvent::Parts(FetchedParts { manifest, parts }));
+        self.control.send(ControlEvent::Parts(FetchedParts {
+            manifest,
+            requested_at,
+            parts,
+        }));
         Some(())
     }
 
