--- a/tests/metrics_page.rs
+++ b/tests/metrics_page.rs
@@ -14,6 +14,7 @@
     metrics.calls.with_label_values(&["a", "b"]).inc();
     metrics.call_seconds.with_label_values(&["a"]).observe(0.1);
     metrics.faults.with_label_values(&["a"]).inc();
+    metrics.replacements.with_label_values(&["a"]).inc();
     let text = String::from_utf8(metrics.text().expect("text")).expect("UTF-8");
     let served: BTreeSet<&str> = text
         .lines()
