Close callers' idle connections by the idle time in force

What callers saw: after IdleTimeoutMs was raised, a connection opened before was closed, unannounced, after the shorter old time, though callers may use four fifths of the longer one. A request that crossed the close got neither an answer nor a refusal.

Cause: the HTTP library ran the keep-alive timer, with the configuration that was in force when the connection was opened.

The library keeps connections without a limit now. CallerConnections remembers when the last response on each ended (its body is dropped) and the longest idle time in force since then, and closes those past it, with the margin of one second as before. Connections with a call in progress or a part of a head are left alone. The library takes complete header lines out of the buffer, so that an empty buffer does not mean that no head has begun; the timer of the head tells, the only one that still runs between two calls. The time to compare with is read one interval before the check, so that what arrived while the thread was held up is read first.

Still as at the start of a connection: the time and the size of a head.

--- a/src/forward/caller_connections.rs
+++ b/src/forward/caller_connections.rs
@@ -1,34 +1,116 @@
 //! The open connections of callers.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 
-use ntex::io::IoRef;
+use ntex::io::{Id, IoRef};
+
+use crate::forward_board::ForwardBoard;
+use crate::mono::{MonoTime, ProcessClock};
 
 /// The open connections of callers.
-#[derive(Default)]
 pub struct CallerConnections {
-    /// Number of the next connection.
-    next: u64,
-    open: HashMap<u64, IoRef>,
+    board: Arc<ForwardBoard>,
+    clock: ProcessClock,
+    open: RefCell<HashMap<Id, OpenConnection>>,
+}
+
+struct OpenConnection {
+    io: IoRef,
+    /// `None` before the first call and while a call is in progress.
+    idle: Option<IdlePeriod>,
+}
+
+struct IdlePeriod {
+    since: MonoTime,
+    /// The longest idle timeout that was in force since then.
+    timeout: Duration,
 }
 
 impl CallerConnections {
-    /// Adds a connection and returns its number.
-    pub fn insert(&mut self, io: IoRef) -> u64 {
-        let number = self.next;
-        self.next += 1;
-        self.open.insert(number, io);
-        number
+    pub fn new(board: Arc<ForwardBoard>, clock: ProcessClock) -> Self {
+        Self {
+            board,
+            clock,
+            open: RefCell::default(),
+        }
+    }
+
+    /// Adds a connection and returns its key.
+    pub fn insert(&self, io: IoRef) -> Id {
+        let id = io.id();
+        let connection = OpenConnection { io, idle: None };
+        self.open.borrow_mut().insert(id, connection);
+        id
     }
 
     /// Removes a connection that has ended.
-    pub fn remove(&mut self, number: u64) {
-        self.open.remove(&number);
+    pub fn remove(&self, id: Id) {
+        self.open.borrow_mut().remove(&id);
     }
 
     /// Returns whether a connection has bytes of a response that are not sent yet.
     pub fn has_unsent(&self) -> bool {
-        let mut connections = self.open.values();
+        let open = self.open.borrow();
+        let mut connections = open.values().map(|connection| &connection.io);
         connections.any(|io| !io.is_closed() && !io.with_write_dst_buf(|buf| buf.is_empty()))
     }
+
+    /// Closes the connections whose idle timeout had expired at `time` and on which no request has
+    /// begun to arrive.
+    pub fn close_idle(&self, time: MonoTime) {
+        let timeout = self.board.limits().idle_timeout;
+        for OpenConnection { io, idle } in self.open.borrow_mut().values_mut() {
+            let Some(idle) = idle else { continue };
+            // The caller may not have the new configuration yet.
+            idle.timeout = idle.timeout.max(timeout);
+            if time.since(idle.since) > with_margin(idle.timeout) && !has_begun_request(io) {
+                io.close();
+            }
+        }
+    }
+
+    fn set_idle(&self, io: &IoRef, idle: Option<IdlePeriod>) {
+        // A connection that has ended has lost its ID.
+        if let Some(connection) = self.open.borrow_mut().get_mut(&io.id()) {
+            connection.idle = idle;
+        }
+    }
+}
+
+/// Keeps a connection from being idle until the guard is dropped, at the end of the response.
+pub struct CallerBusyGuard {
+    callers: Rc<CallerConnections>,
+    io: IoRef,
+}
+
+impl CallerBusyGuard {
+    pub fn new(callers: Rc<CallerConnections>, io: IoRef) -> Self {
+        callers.set_idle(&io, None);
+        Self { callers, io }
+    }
+}
+
+impl Drop for CallerBusyGuard {
+    fn drop(&mut self) {
+        let idle = IdlePeriod {
+            since: self.callers.clock.now(),
+            timeout: self.callers.board.limits().idle_timeout,
+        };
+        self.callers.set_idle(&self.io, Some(idle));
+    }
+}
+
+/// Rounds an idle timeout up to whole seconds and adds one.
+fn with_margin(timeout: Duration) -> Duration {
+    Duration::from_secs(timeout.as_millis().div_ceil(1000) as u64 + 1)
+}
+
+/// Returns whether a part of a request has arrived. The HTTP library takes complete headers from the
+/// buffer and runs the timer of the head meanwhile, which is the only timer of an idle connection.
+fn has_begun_request(io: &IoRef) -> bool {
+    io.timer_handle().is_set() || io.with_read_src_buf(|buf| !buf.is_empty())
 }
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -8,17 +8,19 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use ntex::http::body::ResponseBody;
 use ntex::http::{ConnectionType, Version};
 use ntex::io::IoRef;
 use tokio::sync::mpsc::channel;
 use tokio::time::timeout;
 
 use crate::dialect::{CallHead, EdgeDialect};
+use crate::forward::caller_connections::CallerBusyGuard;
 use crate::forward::connection_headers::{connection_options, is_hop_by_hop};
 use crate::forward::framing_limit::await_overlong_framing;
 use crate::forward::front_call::FrontCall;
 use crate::forward::http_connection::TaskGuard;
-use crate::forward::relay_body::{RelayBody, StreamChunk};
+use crate::forward::relay_body::{GuardedBody, RelayBody, StreamChunk};
 use crate::forward::traffic_state::TrafficState;
 use crate::forward::upstream_response::{CallPlan, FullResponse, OpenStream, UpstreamResponse};
 use crate::forward_board::ForwardStage;
@@ -142,18 +144,22 @@
 pub async fn handle_call<D: EdgeDialect>(
     state: Rc<TrafficState<D>>,
     mut request: ntex::http::Request,
-) -> FrontResponse {
+) -> ntex::http::Response<GuardedBody> {
     let open = OpenCallGuard::new(Rc::clone(&state));
     let began = state.now();
     let caller = CallerConnection {
         io: request.io().cloned(),
         has_chunks: request.version() >= Version::HTTP_11,
     };
-    // The HTTP library leaves the timer of the head or of the idle time running, and closes the
-    // connection after the response if it ends in the meantime.
+    // The HTTP library leaves the timer of the head running, and closes the connection after the
+    // response if it ends in the meantime.
     if let Some(io) = &caller.io {
         io.stop_timer();
     }
+    let busy = caller
+        .io
+        .clone()
+        .map(|io| CallerBusyGuard::new(Rc::clone(&state.callers), io));
     let result = match admit(&state, &mut request, began).await {
         Ok(plan) => serve(&state, plan, caller, open).await,
         Err(refusal) => {
@@ -181,7 +187,10 @@
             .head_mut()
             .set_connection_type(ConnectionType::Close);
     }
-    response
+    response.map_body(|_, body| match body {
+        ResponseBody::Body(body) => ResponseBody::Body(GuardedBody::new(body, busy)),
+        ResponseBody::Other(body) => ResponseBody::Other(body),
+    })
 }
 
 /// Reads a request, finds its route in the configuration in force and authenticates the caller.
--- a/src/forward/front_server.rs
+++ b/src/forward/front_server.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use http::StatusCode;
 use ntex::SharedCfg;
-use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
-use ntex::io::IoRef;
+use ntex::http::{HttpService, HttpServiceConfig, KeepAlive, Request, Response};
+use ntex::io::{Id, IoRef};
 use ntex::service::{Pipeline, ServiceFactory, fn_service};
 use ntex::time::Seconds;
 use socket2::{Domain, Socket, Type};
@@ -27,7 +27,6 @@
 use crate::ids::DataCenterTag;
 use crate::policy::locate_choice::choose_routers;
 use crate::route::EdgeLimits;
-use crate::units::ByteSize;
 
 /// Length of the accept queue of a listener.
 const BACKLOG: i32 = 1024;
@@ -43,16 +42,8 @@
 /// Interval at which a closing router checks whether all responses were sent.
 const SENT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Returns the limits of callers' connections while no configuration is in force. The other
-/// listeners always use them.
-fn default_limits() -> EdgeLimits {
-    EdgeLimits {
-        head_bytes: ByteSize(16 << 10),
-        body_bytes: ByteSize(4 << 20),
-        head_timeout: Duration::from_secs(3),
-        idle_timeout: Duration::from_secs(15),
-    }
-}
+/// Interval at which idle callers' connections are closed.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Opens a TCP listener with `SO_REUSEADDR`.
 pub fn listen(address: SocketAddrV4) -> RouterResult<TcpListener> {
@@ -82,15 +73,10 @@
                 continue;
             }
         };
-        let current = state
-            .board
-            .routes
-            .load()
-            .as_ref()
-            .map_or_else(default_limits, |table| table.limits.clone());
+        let current = state.board.limits();
         if service.is_none() || limits.as_ref() != Some(&current) {
             let config = SharedCfg::new("front")
-                .add(connection_config(&current))
+                .add(connection_config(&current).set_keepalive(KeepAlive::Os))
                 .build();
             let handler_state = Rc::clone(&state);
             let factory = HttpService::h1(fn_service(async move |request: Request| {
@@ -130,19 +116,19 @@
 /// A caller's connection, listed as open until the guard is dropped.
 struct CallerGuard<D> {
     state: Rc<TrafficState<D>>,
-    number: u64,
+    id: Id,
 }
 
 impl<D> CallerGuard<D> {
     fn new(state: Rc<TrafficState<D>>, io: IoRef) -> Self {
-        let number = state.callers.borrow_mut().insert(io);
-        Self { state, number }
+        let id = state.callers.insert(io);
+        Self { state, id }
     }
 }
 
 impl<D> Drop for CallerGuard<D> {
     fn drop(&mut self) {
-        self.state.callers.borrow_mut().remove(self.number);
+        self.state.callers.remove(self.id);
     }
 }
 
@@ -152,7 +138,7 @@
     let mut was_sent = false;
     loop {
         let calls = state.board.calls.load(Ordering::Relaxed);
-        let is_sent = calls == 0 && !state.callers.borrow().has_unsent();
+        let is_sent = calls == 0 && !state.callers.has_unsent();
         // The end of a stream is written a moment after its call has ended.
         let sent = is_sent && was_sent;
         state.board.responses_sent.store(sent, Ordering::Relaxed);
@@ -197,7 +183,7 @@
 /// Serves readiness probes of the platform, locate requests of callers and metrics for operators.
 pub async fn serve_queries<D: EdgeDialect>(listener: TcpListener, state: Rc<TrafficState<D>>) {
     let config = SharedCfg::new("questions")
-        .add(connection_config(&default_limits()))
+        .add(connection_config(&EdgeLimits::default()))
         .build();
     let handler_state = Rc::clone(&state);
     let factory = HttpService::h1(fn_service(async move |request: Request| {
@@ -308,3 +294,14 @@
         state.sweep();
     }
 }
+
+/// Closes callers' connections that were idle for too long. The HTTP library would apply the timeout
+/// that was in force when they were opened.
+pub async fn close_idle_callers<D: EdgeDialect>(state: Rc<TrafficState<D>>) {
+    loop {
+        // What had arrived by this time is read during the pause, also if the thread was held up.
+        let time = state.now();
+        tokio::time::sleep(IDLE_POLL_INTERVAL).await;
+        state.callers.close_idle(time);
+    }
+}
--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -9,6 +9,7 @@
 use ntex::io::IoRef;
 use tokio::sync::mpsc::Receiver;
 
+use crate::forward::caller_connections::CallerBusyGuard;
 use crate::forward::http_connection::TaskGuard;
 
 /// A chunk of a relayed event stream.
@@ -82,6 +83,31 @@
     }
 }
 
+/// Body of a response to a call. The HTTP library drops it at the end of the response.
+pub struct GuardedBody {
+    body: RelayBody,
+    _busy: Option<CallerBusyGuard>,
+}
+
+impl GuardedBody {
+    pub fn new(body: RelayBody, busy: Option<CallerBusyGuard>) -> Self {
+        Self { body, _busy: busy }
+    }
+}
+
+impl MessageBody for GuardedBody {
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next_chunk(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<ntex::util::Bytes, Rc<dyn Error>>>> {
+        self.body.poll_next_chunk(cx)
+    }
+}
+
 fn to_ntex(bytes: &Bytes) -> ntex::util::Bytes {
     ntex::util::Bytes::copy_from_slice(bytes)
 }
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -63,7 +63,7 @@
     pub telemetry: PrometheusMetrics,
     /// Idle connections to upstreams.
     pub pool: RefCell<ConnectionPool>,
-    pub callers: RefCell<CallerConnections>,
+    pub callers: Rc<CallerConnections>,
     /// Memory of the response bodies that are being read.
     pub body_budget: BodyBudget,
     upstream_stats: RefCell<HashMap<UpstreamKey, UpstreamStats>>,
@@ -141,13 +141,14 @@
         clock: ProcessClock,
         telemetry: PrometheusMetrics,
     ) -> Self {
+        let callers = Rc::new(CallerConnections::new(Arc::clone(&board), clock));
         Self {
             dialect,
             board,
             clock,
             telemetry,
             pool: RefCell::default(),
-            callers: RefCell::default(),
+            callers,
             body_budget: BodyBudget::default(),
             upstream_stats: RefCell::default(),
             retry_windows: RefCell::default(),
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -14,7 +14,7 @@
 use crate::policy::rate_limits::RateLimits;
 use crate::policy::stop_admission::StopPlan;
 use crate::policy::suspect_work::SuspectWork;
-use crate::route::RouteTable;
+use crate::route::{EdgeLimits, RouteTable};
 
 /// Stage in the life cycle of a forwarding router.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -124,6 +124,14 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the limits in force on callers' requests and connections.
+    pub fn limits(&self) -> EdgeLimits {
+        let routes = self.routes.load();
+        routes
+            .as_ref()
+            .map_or_else(EdgeLimits::default, |table| table.limits.clone())
+    }
+
     /// Waits until the calls in progress are to end.
     pub async fn await_calls_end(&self) {
         // Fails only if the sender is gone, which `self` holds.
--- a/src/route/edge_limits.rs
+++ b/src/route/edge_limits.rs
@@ -16,3 +16,16 @@
     /// Time for which a connection without a request stays open.
     pub idle_timeout: Duration,
 }
+
+impl Default for EdgeLimits {
+    /// The limits of callers' connections while no configuration is in force. The other listeners
+    /// always use them.
+    fn default() -> Self {
+        Self {
+            head_bytes: ByteSize(16 << 10),
+            body_bytes: ByteSize(4 << 20),
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
