Share the last steps of a replaced attempt

Two ends of an attempt in whose place another one goes on repeated the same steps. In an offer, `has_moved` could not be true where `is_gone` is, since both read the start of the first attempt's wait. No behaviour changes.

--- a/src/forward/front_call/replacement.rs
+++ b/src/forward/front_call/replacement.rs
@@ -231,7 +231,6 @@
         C: Future<Output = Result<T, AttemptFault>>,
         F: Future<Output = Result<UpstreamResponse<D>, AttemptFault>>,
     {
-        let first_since = first.wait.since();
         let _contest = ContestGuard::new(&first.is_contested);
         loop {
             let sent = second.record.wait.sent();
@@ -247,8 +246,7 @@
                 }
                 () = second.record.wait.changed() => {}
                 () = tokio::time::sleep(wait) => {
-                    let has_moved = first.wait.since() != first_since;
-                    if sent.is_some() && !has_moved && self.in_time() && self.is_gone(first) {
+                    if sent.is_some() && self.in_time() && self.is_gone(first) {
                         return OfferEnd::Decided(self.accept(first, second));
                     }
                     self.log_replacement(&second.record, ReplacementOutcome::Unheard, None);
@@ -278,7 +276,8 @@
             Err(fault) => {
                 self.record_crash(&first.entry, fault).await;
                 self.log_replacement(&second.record, ReplacementOutcome::Accepted, None);
-                self.end_beside(first, fault);
+                let silent = self.record_fault(first, fault);
+                self.record_replaced(first, fault, silent);
                 second.record.has_fallback.set(false);
                 AttemptEnd::Replaced(second)
             }
@@ -343,13 +342,11 @@
             self.state.record_failure(record.key(), fault, silent);
         }
         self.suspect.push(record.key());
-        self.attempts.record_beside(fault.verdict());
-        self.log_fault(record, fault, silent, "Replaced");
+        self.record_replaced(record, fault, silent);
     }
 
-    /// Records the fault of an attempt in whose place another one goes on.
-    fn end_beside(&mut self, record: &AttemptRecord, fault: AttemptFault) {
-        let silent = self.record_fault(record, fault);
+    /// Records that another attempt goes on in the place of one that ended with `fault`.
+    fn record_replaced(&mut self, record: &AttemptRecord, fault: AttemptFault, silent: bool) {
         self.attempts.record_beside(fault.verdict());
         self.log_fault(record, fault, silent, "Replaced");
     }
