Let a call return to an upstream that an ended offer left

Cause: arrivals were counted by attempt, not by upstream, and the wait for an event was taken for silence.

An upstream that was given up for its silence may have the call again without being counted twice, also after a fault of the other one. Only a time without any byte for the call makes an upstream gone: half of the call's time, between 1.5 and 3 s. A wait that comments interrupt is checked once in the limit.

--- a/src/forward/attempt_record.rs
+++ b/src/forward/attempt_record.rs
@@ -31,4 +31,10 @@
     pub fn waiting_since(&self) -> MonoTime {
         self.wait.since().unwrap_or(self.started)
     }
+
+    /// Returns since when nothing at all has come for this attempt.
+    pub fn silent_since(&self) -> MonoTime {
+        let since = self.waiting_since();
+        self.wait.heard().map_or(since, |heard| heard.max(since))
+    }
 }
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -43,8 +43,8 @@
     /// Upstreams that may have run the call and failed. They are chosen again only if no other
     /// upstream is left.
     suspect: Vec<UpstreamKey>,
-    /// Upstreams that had the call beside another one and did not answer in time. They may have it
-    /// again without being more upstreams than the route allows.
+    /// Upstreams that were given up for their silence. They may have the call again without being more
+    /// upstreams than the route allows.
     unheard: Vec<UpstreamKey>,
     /// The parts of the prompt that other requests share. `None` if the route's upstreams cache no
     /// prompts.
@@ -59,6 +59,8 @@
     /// What the caller has of the stream.
     progress: RelayProgress,
     first_event: Option<MonoTime>,
+    /// When a wait of the call was last checked for silence.
+    checked_at: Option<MonoTime>,
     /// The attempt that the response to the caller comes from, or the latest one that failed.
     latest: Option<Rc<AttemptRecord>>,
     ended: bool,
@@ -90,6 +92,7 @@
             suspect: Vec::new(),
             unheard: Vec::new(),
             first_event: None,
+            checked_at: None,
             latest: None,
             ended: false,
         }
@@ -391,15 +394,26 @@
     }
 
     fn choose_upstream(&self) -> Option<UpstreamGuard<D>> {
+        let mut excluded = self.excluded.keys();
+        if !self.attempts.may_add() {
+            excluded.extend(self.keys_but_unheard());
+        }
         self.state.pick(
             &self.plan.table,
             &self.service,
             self.prompt,
-            &self.excluded.keys(),
+            &excluded,
             &self.suspect,
         )
     }
 
+    /// Returns the upstreams other than those that may have the call again.
+    fn keys_but_unheard(&self) -> Vec<UpstreamKey> {
+        let upstreams = self.state.board.upstreams.load();
+        let keys = upstreams.iter().map(|entry| entry.id.key());
+        keys.filter(|key| !self.unheard.contains(key)).collect()
+    }
+
     /// Returns the time until the deadline of the call.
     pub fn time_left(&self) -> Duration {
         self.plan.deadline.since(self.state.now())
@@ -434,8 +448,18 @@
         silent
     }
 
+    /// Records that an upstream has failed, if it had the call once more.
+    fn forget_unheard(&mut self, key: UpstreamKey, fault: AttemptFault) {
+        if fault.verdict() != RunVerdict::NotRun && self.unheard.contains(&key) {
+            self.unheard.retain(|unheard| *unheard != key);
+            self.attempts.forget_arrival();
+            self.attempts.set_may_return(!self.unheard.is_empty());
+        }
+    }
+
     /// Records the fault of the only attempt that ran, and decides whether to retry.
     fn handle_fault(&mut self, record: &AttemptRecord, fault: AttemptFault) -> NextStep {
+        self.forget_unheard(record.key(), fault);
         let silent = self.record_fault(record, fault);
         let affordable = self.state.affordable(&self.service)
             && self.progress.can_continue()
--- a/src/forward/front_call/replacement.rs
+++ b/src/forward/front_call/replacement.rs
@@ -15,6 +15,7 @@
 use crate::forward::traffic_state::UpstreamGuard;
 use crate::forward::upstream_response::UpstreamResponse;
 use crate::forward::wait_limits::{SilenceChecks, WaitLimits};
+use crate::ids::UpstreamKey;
 use crate::policy::call_attempts::{AttemptFault, RunVerdict};
 use crate::policy::suspect_work::suspect_time;
 
@@ -22,7 +23,9 @@
 /// after 400 ms counts as run twice.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Wait after which an upstream counts as gone. A sound one may send nothing for a second or so.
+/// Bounds of the silence after which an upstream counts as gone: half of the time that the call has,
+/// so that the rest suffices for another one. A sound upstream may send nothing for a second or so.
+const MIN_SILENCE: Duration = Duration::from_millis(1500);
 const MAX_SILENCE: Duration = Duration::from_secs(3);
 
 /// Upstreams that are tried one after the other for a replacement, while none of them receives the
@@ -126,7 +129,14 @@
                 }));
             }
             let since = record.wait.since().filter(|_| self.can_be_repeated());
-            let check_at = since.map(|since| checks.next_at(since, now));
+            let check_at = since.map(|since| {
+                let check_at = checks.next_at(since, now);
+                // Comments end a look at the stream, but not its wait.
+                let checked = self
+                    .checked_at
+                    .filter(|&at| checks.count() == 0 && at >= since);
+                checked.map_or(check_at, |at| check_at.max(at + limits.active))
+            });
             let wait_until = check_at.map_or(self.plan.deadline, |at| at.min(self.plan.deadline));
             tokio::select! {
                 biased;
@@ -145,6 +155,7 @@
             // response to it does not show a fault.
             let is_overdue = checks.count() > 0 && !self.state.is_queued(record.key());
             checks.pass();
+            self.checked_at = Some(self.state.now());
             if (is_silent || is_overdue)
                 && let Some(end) = self.replace(record, current.as_mut(), &respond).await
             {
@@ -158,9 +169,11 @@
         self.plan.route.kind.repeatable() && self.progress.can_continue()
     }
 
-    /// Returns whether an attempt has waited for so long that its upstream counts as gone.
+    /// Returns whether nothing has come for an attempt for so long that its upstream counts as gone.
     fn is_gone(&self, record: &AttemptRecord) -> bool {
-        self.state.now().since(record.waiting_since()) >= MAX_SILENCE
+        let half = self.plan.deadline.since(self.plan.began) / 2;
+        let limit = half.clamp(MIN_SILENCE, MAX_SILENCE);
+        self.state.now().since(record.silent_since()) >= limit
     }
 
     /// Offers the call to other upstreams until one receives it. Returns `None` if the first attempt
@@ -192,8 +205,8 @@
         None
     }
 
-    /// Chooses an upstream beside that of `first`, if the call may be repeated now. If no other one may
-    /// receive the call and `first` is gone, one that had it is chosen again.
+    /// Chooses an upstream beside that of `first`, if the call may be repeated now. One that had the
+    /// call is chosen only if no other one may receive it and `first` is gone.
     fn choose_replacement(&mut self, first: &AttemptRecord) -> Option<UpstreamGuard<D>> {
         let is_sound = {
             let suspects = self.state.board.suspects();
@@ -204,19 +217,27 @@
             return None;
         }
         self.excluded.remove_expired(self.state.now());
+        let pick = |excluded: &[UpstreamKey]| {
+            let plan = &self.plan;
+            self.state
+                .pick(&plan.table, &self.service, self.prompt, excluded, &[])
+        };
         let mut excluded = self.excluded.keys();
         excluded.push(first.key());
-        if self.attempts.may_repeat() {
-            excluded.extend(&self.suspect);
-        } else if self.unheard.is_empty() || !self.is_gone(first) {
+        if self.attempts.may_add_beside() {
+            let others = [&excluded[..], &self.suspect].concat();
+            if let Some(guard) = pick(&others) {
+                return Some(guard);
+            }
+        } else if self.unheard.is_empty() {
             return None;
         } else {
-            let upstreams = self.state.board.upstreams.load();
-            let keys = upstreams.iter().map(|entry| entry.id.key());
-            excluded.extend(keys.filter(|key| !self.unheard.contains(key)));
+            excluded.extend(self.keys_but_unheard());
         }
-        self.state
-            .pick(&self.plan.table, &self.service, self.prompt, &excluded, &[])
+        if !self.is_gone(first) {
+            return None;
+        }
+        pick(&excluded)
     }
 
     /// Waits until one of two attempts is left, for [`ACCEPT_TIMEOUT`] at most after the second one
@@ -276,8 +297,10 @@
             Err(fault) => {
                 self.record_crash(&first.entry, fault).await;
                 self.log_replacement(&second.record, ReplacementOutcome::Accepted, None);
+                self.forget_unheard(first.key(), fault);
                 let silent = self.record_fault(first, fault);
-                self.record_replaced(first, fault, silent);
+                self.attempts.record_beside(fault.verdict());
+                self.log_fault(first, fault, silent, "Replaced");
                 second.record.has_fallback.set(false);
                 AttemptEnd::Replaced(second)
             }
@@ -306,6 +329,7 @@
             ReplacementOutcome::Failed
         };
         self.log_replacement(&second, outcome, Some(fault));
+        self.forget_unheard(second.key(), fault);
         self.record_fault(&second, fault);
         self.attempts.record_beside(fault.verdict());
         if fault.arrived() {
@@ -341,23 +365,24 @@
         } else {
             self.state.record_failure(record.key(), fault, silent);
         }
-        self.suspect.push(record.key());
-        self.record_replaced(record, fault, silent);
-    }
-
-    /// Records that another attempt goes on in the place of one that ended with `fault`.
-    fn record_replaced(&mut self, record: &AttemptRecord, fault: AttemptFault, silent: bool) {
-        self.attempts.record_beside(fault.verdict());
+        self.add_unheard(record.key());
         self.log_fault(record, fault, silent, "Replaced");
     }
 
     /// Records that an attempt is ended before its upstream has answered.
     fn end_unfinished(&mut self, record: &AttemptRecord) {
-        let key = record.key();
-        if record.wait.sent().is_some() && !self.unheard.contains(&key) {
+        if record.wait.sent().is_some() {
+            self.add_unheard(record.key());
+        }
+    }
+
+    /// Records that an upstream has the call and may receive it once more.
+    fn add_unheard(&mut self, key: UpstreamKey) {
+        if !self.unheard.contains(&key) {
             self.unheard.push(key);
             self.suspect.push(key);
             self.attempts.record_beside(RunVerdict::MayHaveRun);
+            self.attempts.set_may_return(true);
         }
     }
 
--- a/src/forward/front_call/stream_source.rs
+++ b/src/forward/front_call/stream_source.rs
@@ -126,6 +126,7 @@
                 Some(Err(_)) => return Err(AttemptFault::Broken),
                 Some(Ok(frame)) => {
                     self.state.record_activity(self.guard.key);
+                    self.record.wait.record_bytes(self.state.now());
                     self.connection.record_body();
                     // Trailers are not part of the body.
                     if let Ok(bytes) = frame.into_data() {
--- a/src/forward/wait_clock.rs
+++ b/src/forward/wait_clock.rs
@@ -15,6 +15,8 @@
     ///
     /// Invariant: `None` if and only if `sent` is.
     since: Cell<Option<MonoTime>>,
+    /// When the latest bytes of the response arrived.
+    heard: Cell<Option<MonoTime>>,
     changed: Notify,
 }
 
@@ -39,6 +41,15 @@
         self.since.get()
     }
 
+    /// Records that bytes of the response have arrived, which may not end the wait.
+    pub fn record_bytes(&self, now: MonoTime) {
+        self.heard.set(Some(now));
+    }
+
+    pub fn heard(&self) -> Option<MonoTime> {
+        self.heard.get()
+    }
+
     /// Waits for the start of another wait.
     pub async fn changed(&self) {
         self.changed.notified().await;
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -142,6 +142,8 @@
     /// Invariant: the highest verdict of all attempts.
     verdict: RunVerdict,
     streaming: bool,
+    /// Whether an upstream is left that may receive the call once more.
+    may_return: bool,
 }
 
 impl CallAttempts {
@@ -155,6 +157,7 @@
             connects: 0,
             verdict: RunVerdict::NotRun,
             streaming: false,
+            may_return: false,
         }
     }
 
@@ -177,9 +180,32 @@
     /// Returns whether another upstream may receive the call if the current attempt fails after the
     /// call was written.
     pub fn may_repeat(&self) -> bool {
+        self.allows_beside(1) || self.may_return && self.kind.repeatable()
+    }
+
+    /// Returns whether an upstream that has not received the call yet may receive it while the
+    /// current attempt goes on.
+    pub fn may_add_beside(&self) -> bool {
         self.allows_beside(1)
     }
 
+    /// Returns whether an upstream that has not received the call yet may receive it.
+    pub fn may_add(&self) -> bool {
+        self.arrivals < self.max_arrivals
+    }
+
+    /// Sets whether an upstream is left that may receive the call once more, without being another
+    /// one that received it.
+    pub fn set_may_return(&mut self, may_return: bool) {
+        self.may_return = may_return;
+    }
+
+    /// Takes back the arrival at an upstream that received the call once more. Its end is recorded
+    /// anew.
+    pub fn forget_arrival(&mut self) {
+        self.arrivals = self.arrivals.saturating_sub(1);
+    }
+
     /// Returns whether another upstream may receive the call if the current attempt and the one that
     /// is to replace it both fail after the call was written.
     pub fn may_repeat_replacement(&self) -> bool {
@@ -232,7 +258,7 @@
         }
         let proven_not_run = fault.verdict() == RunVerdict::NotRun;
         let allowed = proven_not_run || self.kind.repeatable();
-        let attempts_left = self.arrivals < self.max_arrivals && self.connects < MAX_CONNECTS;
+        let attempts_left = (self.may_add() || self.may_return) && self.connects < MAX_CONNECTS;
         let within_budget = affordable || !self.is_repeat();
         if allowed && attempts_left && within_budget {
             NextStep::Retry
