Reserve a retry before a silent engine is given up

What callers saw: a chat ended with an error event ("upstream failed"), though its engine was only silent for longer than first_event or next_event and went on, when the retry budget was spent.

Cause: response_relay.rs ended the attempt at the limit and asked for the right to repeat afterwards; a refusal then had nothing left to go on with. The wait for the response head did the same.

Fix: the wait for a head or an event is one future that a silence does not drop. At each limit the relay asks for a retry, if resumes or engines are left; refused, it waits on for the same answer, up to the deadline; granted, it gives the engine up and the next attempt uses that retry. After a silence without a head, pre-emption ends that wait too, which may outlast first_event now. The connect keeps its limit, so that a failure to connect still counts as not run. EngineStream::next could be called again already; its buffers belong to the stream.

--- a/src/client.rs
+++ b/src/client.rs
@@ -207,14 +207,25 @@
         &self,
         call: ClientRequest,
         limit: Duration,
+    ) -> Result<ClientResponse, ClientError> {
+        self.send_with_timeouts(call, limit, limit).await
+    }
+
+    /// Sends a call like [`Self::send_with_timeout`], with a shorter limit for the connect.
+    pub async fn send_with_timeouts(
+        &self,
+        call: ClientRequest,
+        connect_limit: Duration,
+        limit: Duration,
     ) -> Result<ClientResponse, ClientError> {
         let deadline = Instant::now() + limit;
+        let connect_limit = self.limits.connect_timeout.min(connect_limit);
         let request = call
             .request(self.idle.is_some())
             .map_err(ClientError::Malformed)?;
         let mut connection = match self.take_idle(call.address) {
             Some(connection) => connection,
-            None => HttpConnection::open(call.address, self.limits.connect_timeout.min(limit))
+            None => HttpConnection::open(call.address, connect_limit)
                 .await
                 .map_err(ClientError::Unreachable)?,
         };
--- a/src/upstream/engine_stream.rs
+++ b/src/upstream/engine_stream.rs
@@ -82,12 +82,14 @@
 
 impl EngineStream {
     /// Sends `request` to the engine at `address` and opens a stream that starts with event number
-    /// `resume_from`. The response head must arrive within `timeout`.
+    /// `resume_from`. The connection must open within `connect_timeout` and the response head
+    /// arrive within `timeout`.
     pub async fn open(
         client: &HttpClient,
         address: SocketAddr,
         request: &EngineRequest,
         resume_from: u64,
+        connect_timeout: Duration,
         timeout: Duration,
     ) -> Result<Self, OpenFault> {
         let call = ClientRequest::post(address, "/v1/chat/completions")
@@ -96,7 +98,7 @@
             .header(HEADER_PRIORITY, &request.rank.engine_priority().to_string())
             .json_text(request.body.clone());
         let response = client
-            .send_with_timeout(call, timeout)
+            .send_with_timeouts(call, connect_timeout, timeout)
             .await
             .map_err(|fault| {
                 if fault.not_run() {
@@ -125,14 +127,22 @@
 
     /// Waits for the next event, at most for `timeout`.
     pub async fn next(&mut self, timeout: Duration) -> Result<EngineEvent, RouterError> {
-        let fault = |text: &str| RouterError::step_text(StepName::NextEvent, self.peer, text);
         let read = tokio::time::timeout(timeout, self.events.next()).await;
-        let event = read.map_err(|_| fault("timed out waiting for an event"))?;
-        let event = event.ok_or_else(|| fault("stream ended without an end marker"))?;
+        let event = read.map_err(|_| self.silence())?;
+        let event = event.ok_or_else(|| self.fault("stream ended without an end marker"))?;
         self.link.record_body();
         event
             .map(|event| parse_event(&event))
-            .map_err(|error| fault(&error.to_string()))
+            .map_err(|error| self.fault(&error.to_string()))
+    }
+
+    /// Returns the error of an engine that sent no event in time.
+    pub fn silence(&self) -> RouterError {
+        self.fault("timed out waiting for an event")
+    }
+
+    fn fault(&self, text: &str) -> RouterError {
+        RouterError::step_text(StepName::NextEvent, self.peer, text)
     }
 }
 
--- a/src/upstream/response_relay.rs
+++ b/src/upstream/response_relay.rs
@@ -1,6 +1,7 @@
 //! Relays the response to one request: waits for an engine, verifies the events, and resumes or
 //! retries after failures.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,9 +10,9 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::board::ConfigSection;
-use crate::client::HttpClient;
+use crate::client::{ClientError, HttpClient};
 use crate::control::{ControlEvent, ControlHandle, EngineRun, WorkRequest, WorkVerdict};
-use crate::error::RouterError;
+use crate::error::{RouterError, StepName};
 use crate::ids::EngineKey;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::refusal::{RefusalReason, WorkRefusal};
@@ -27,6 +28,9 @@
 /// Maximum number of engines that one request is sent to, one after the other.
 const MAX_ENGINES: u32 = 3;
 
+/// Minimum time between two requests for a retry during one silence, whatever the rules say.
+const MIN_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Retry hint of the refusals that the relay itself makes.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -60,6 +64,22 @@
     out: Sender<RelayMessage>,
     /// Whether an engine may have received any byte of the request without refusing it.
     may_have_run: bool,
+    /// Number of engines that failed before an event was relayed.
+    failed_engines: u32,
+    /// Number of times that the response was resumed on the current engine.
+    resumes: u32,
+    /// Whether the retry budget granted a retry that no attempt has used yet.
+    has_retry: bool,
+}
+
+/// The end of a wait for an engine.
+enum EngineWait<T> {
+    /// The engine sent what was waited for, or failed.
+    Done(T),
+    /// The engine was silent, and a retry was granted.
+    Silent,
+    /// The run ends with this outcome, whatever the engine does.
+    Ended(EngineOutcome),
 }
 
 /// The result of running a request on one engine.
@@ -95,12 +115,14 @@
             request,
             out,
             may_have_run: false,
+            failed_engines: 0,
+            resumes: 0,
+            has_retry: false,
         }
     }
 
     /// Runs the request until the caller has a complete response, a refusal or an error event.
     pub async fn run(mut self) {
-        let mut engines = 0;
         let mut verdict = self.submit().await;
         loop {
             let run = match verdict {
@@ -129,10 +151,10 @@
                 }
             };
             self.log_fault("engine-failed", &error);
-            engines += 1;
-            if engines >= MAX_ENGINES || self.is_deadline_expired() || !self.may_retry().await {
+            if !self.may_retry().await {
                 return self.send_no_upstream(&error).await;
             }
+            self.failed_engines += 1;
             self.item.avoid = Some(run.engine);
             verdict = self.submit().await;
         }
@@ -197,7 +219,21 @@
         verdict
     }
 
-    async fn may_retry(&self) -> bool {
+    /// Returns whether another attempt may follow, and uses up a retry for it.
+    async fn may_retry(&mut self) -> bool {
+        std::mem::take(&mut self.has_retry) || self.request_retry().await
+    }
+
+    /// Withdraws a retry from the budget, unless no attempt is left.
+    async fn request_retry(&self) -> bool {
+        let is_attempt_left = if self.check.relayed() == 0 {
+            self.failed_engines + 1 < MAX_ENGINES
+        } else {
+            self.resumes < MAX_RESUMES_PER_ENGINE
+        };
+        if !is_attempt_left || self.is_deadline_expired() {
+            return false;
+        }
         self.context
             .control
             .request(ControlEvent::Retry)
@@ -205,28 +241,78 @@
             .unwrap_or(false)
     }
 
+    /// Waits until `step` of an engine is done. An engine that is silent for `limit` may go on, so
+    /// it is not given up before a retry is granted. `step` must end at the request's deadline.
+    async fn wait_for_engine<T>(
+        &self,
+        step: impl Future<Output = T>,
+        mut limit: Duration,
+        preempt_signal: &Notify,
+        mut can_preempt: bool,
+    ) -> EngineWait<T> {
+        let mut step = pin!(step);
+        loop {
+            let silence = async {
+                tokio::time::sleep(limit).await;
+                self.request_retry().await
+            };
+            tokio::select! {
+                biased;
+                () = self.out.closed() => {
+                    return EngineWait::Ended(EngineOutcome::CallerDisconnected);
+                }
+                () = preempt_signal.notified(), if can_preempt => {
+                    return EngineWait::Ended(EngineOutcome::Preempted);
+                }
+                // Before the silence: a failure to connect by the same limit shows that the request
+                // did not run.
+                done = &mut step => return EngineWait::Done(done),
+                has_retry = silence => {
+                    if has_retry {
+                        return EngineWait::Silent;
+                    }
+                    can_preempt = true;
+                    limit = limit.max(MIN_RETRY_INTERVAL);
+                }
+            }
+        }
+    }
+
     /// Relays the response of one engine, reconnecting to resume it after a failure.
     async fn run_on_engine(&mut self, run: &EngineRun) -> EngineOutcome {
         let engine = run.engine;
         let Some(entry) = self.config.engines.get(&engine) else {
             let text = "engine is not in the configuration that this request uses";
-            let error = RouterError::step_text(crate::error::StepName::Connect, engine, text);
+            let error = RouterError::step_text(StepName::Connect, engine, text);
             return EngineOutcome::NotRun(error);
         };
         let address = entry.address;
-        let mut resumes = 0;
+        self.resumes = 0;
         loop {
-            let limit = self.rule().first_event.0.min(self.time_left());
+            let limit = self.rule().first_event.0;
             let opened = EngineStream::open(
                 &self.context.client,
                 address,
                 &self.request,
                 self.check.relayed(),
-                limit,
+                limit.min(self.time_left()),
+                self.time_left(),
             );
-            let opened = tokio::select! {
-                opened = opened => opened,
-                () = self.out.closed() => return EngineOutcome::CallerDisconnected,
+            let opened = self
+                .wait_for_engine(opened, limit, &run.preempt_signal, false)
+                .await;
+            let opened = match opened {
+                EngineWait::Done(opened) => opened,
+                EngineWait::Silent => {
+                    self.has_retry = true;
+                    let error = ClientError::TimedOut;
+                    let error = RouterError::step(StepName::FirstEvent, address, error);
+                    Err(OpenFault::Unknown(error))
+                }
+                EngineWait::Ended(outcome) => {
+                    self.may_have_run = true;
+                    return outcome;
+                }
             };
             let error = match opened {
                 Ok(stream) => {
@@ -248,13 +334,10 @@
             if self.check.relayed() == 0 {
                 return EngineOutcome::FailedBeforeFirstEvent(error);
             }
-            resumes += 1;
-            if resumes > MAX_RESUMES_PER_ENGINE
-                || self.is_deadline_expired()
-                || !self.may_retry().await
-            {
+            if !self.may_retry().await {
                 return EngineOutcome::Interrupted(error);
             }
+            self.resumes += 1;
             self.log_fault("answer-resumed", &error);
         }
     }
@@ -268,10 +351,17 @@
     ) -> Result<EngineOutcome, RouterError> {
         let mut event_timeout = self.rule().first_event.0;
         loop {
-            let event = tokio::select! {
-                event = stream.next(event_timeout.min(self.time_left())) => event?,
-                () = self.out.closed() => return Ok(EngineOutcome::CallerDisconnected),
-                () = preempt_signal.notified() => return Ok(EngineOutcome::Preempted),
+            let next = stream.next(self.time_left());
+            let event = match self
+                .wait_for_engine(next, event_timeout, preempt_signal, true)
+                .await
+            {
+                EngineWait::Done(event) => event?,
+                EngineWait::Silent => {
+                    self.has_retry = true;
+                    return Err(stream.silence());
+                }
+                EngineWait::Ended(outcome) => return Ok(outcome),
             };
             match event {
                 EngineEvent::Content {
@@ -352,7 +442,7 @@
 }
 
 fn stream_fault(request: &str, text: &str) -> RouterError {
-    RouterError::step_text(crate::error::StepName::NextEvent, request, text)
+    RouterError::step_text(StepName::NextEvent, request, text)
 }
 
 /// Reports the end of the request on its engine when dropped, so that the slot is released even if
