Give a frozen engine up 3 s after its limit

Without a retry to be had, a call at an engine that never goes on held its slot until its deadline, by default 20 s for quick and 1,800 s for long calls. Three seconds beyond the limit cover an engine that goes on after a second or so.

--- a/src/upstream/response_relay.rs
+++ b/src/upstream/response_relay.rs
@@ -28,6 +28,9 @@
 /// Maximum number of engines that one request is sent to, one after the other.
 const MAX_ENGINES: u32 = 3;
 
+/// Wait beyond a limit after which a silent engine is given up also without a retry.
+const MAX_EXTRA_SILENCE: Duration = Duration::from_secs(3);
+
 /// Minimum time between two requests for a retry during one silence, whatever the rules say.
 const MIN_RETRY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -76,8 +79,8 @@
 enum EngineWait<T> {
     /// The engine sent what was waited for, or failed.
     Done(T),
-    /// The engine was silent, and a retry was granted.
-    Silent,
+    /// The engine was silent for too long, or a retry was granted.
+    Silent { has_retry: bool },
     /// The run ends with this outcome, whatever the engine does.
     Ended(EngineOutcome),
 }
@@ -242,7 +245,8 @@
     }
 
     /// Waits until `step` of an engine is done. An engine that is silent for `limit` may go on, so
-    /// it is not given up before a retry is granted. `step` must end at the request's deadline.
+    /// it is not given up before a retry is granted or [`MAX_EXTRA_SILENCE`] has passed as well.
+    /// `step` must end at the request's deadline.
     async fn wait_for_engine<T>(
         &self,
         step: impl Future<Output = T>,
@@ -251,6 +255,7 @@
         mut can_preempt: bool,
     ) -> EngineWait<T> {
         let mut step = pin!(step);
+        let give_up_at = self.context.clock.now() + limit + MAX_EXTRA_SILENCE;
         loop {
             let silence = async {
                 tokio::time::sleep(limit).await;
@@ -268,11 +273,12 @@
                 // did not run.
                 done = &mut step => return EngineWait::Done(done),
                 has_retry = silence => {
-                    if has_retry {
-                        return EngineWait::Silent;
+                    let now = self.context.clock.now();
+                    if has_retry || now >= give_up_at {
+                        return EngineWait::Silent { has_retry };
                     }
                     can_preempt = true;
-                    limit = limit.max(MIN_RETRY_INTERVAL);
+                    limit = limit.max(MIN_RETRY_INTERVAL).min(give_up_at.since(now));
                 }
             }
         }
@@ -303,8 +309,8 @@
                 .await;
             let opened = match opened {
                 EngineWait::Done(opened) => opened,
-                EngineWait::Silent => {
-                    self.has_retry = true;
+                EngineWait::Silent { has_retry } => {
+                    self.has_retry = has_retry;
                     let error = ClientError::TimedOut;
                     let error = RouterError::step(StepName::FirstEvent, address, error);
                     Err(OpenFault::Unknown(error))
@@ -357,8 +363,8 @@
                 .await
             {
                 EngineWait::Done(event) => event?,
-                EngineWait::Silent => {
-                    self.has_retry = true;
+                EngineWait::Silent { has_retry } => {
+                    self.has_retry = has_retry;
                     return Err(stream.silence());
                 }
                 EngineWait::Ended(outcome) => return Ok(outcome),
--- a/tests/silent_engine.rs
+++ b/tests/silent_engine.rs
@@ -3,7 +3,7 @@
 
 mod fleet;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fleet::caller::{ChatRequest, ChatResponse};
 use fleet::{FleetPlan, TestFleet, wait_for};
@@ -118,6 +118,18 @@
     }
 }
 
+/// The deadline of the call is 20 s.
+#[ntex::test]
+async fn frozen_engine_is_given_up() {
+    let fleet = TestFleet::start(plan("frozen_engine_is_given_up")).await;
+    spend_retry(&fleet).await;
+    let request = ChatRequest::new("chat-1", 6).fault(json!({"stall_at": 3}));
+    let began = Instant::now();
+    let response = fleet.caller().chat(fleet.entry(0), &request).await;
+    assert!(response.has_error(), "{response:?}");
+    assert!(began.elapsed() < Duration::from_secs(10));
+}
+
 #[ntex::test]
 async fn caller_leaves_silent_engine() {
     let fleet = TestFleet::start(plan("caller_leaves_silent_engine")).await;
