--- a/tests/call_attempts.rs
+++ b/tests/call_attempts.rs
@@ -113,3 +113,31 @@
         "two upstreams may have run the call"
     );
 }
+
+#[test]
+fn return_to_an_upstream_is_no_other_arrival() {
+    let mut attempts = CallAttempts::new(CallKind::Idempotent, 2);
+    // An upstream that had the call beside the first one, and may have it again.
+    attempts.record_beside(RunVerdict::MayHaveRun);
+    attempts.set_may_return(true);
+    assert!(attempts.may_repeat() && !attempts.may_add_beside());
+    let step = attempts.record_fault(AttemptFault::Broken, true, true);
+    assert_eq!((step, attempts.arrivals()), (NextStep::Retry, 2));
+    assert!(!attempts.may_add());
+    attempts.forget_arrival();
+    attempts.set_may_return(false);
+    let step = attempts.record_fault(AttemptFault::Broken, true, true);
+    assert_eq!(
+        (step, attempts.arrivals()),
+        (NextStep::Fail(CallFailure::Unknown), 2)
+    );
+}
+
+#[test]
+fn orders_never_return() {
+    let mut attempts = CallAttempts::new(CallKind::NonIdempotent, 2);
+    attempts.set_may_return(true);
+    assert!(!attempts.may_repeat());
+    let step = attempts.record_fault(AttemptFault::Broken, true, true);
+    assert_eq!(step, NextStep::Fail(CallFailure::Unknown));
+}
