Say why a router's status was waited for in vain

The wait and one status request had the same limit of 60 s, so that a single request that hangs used up the whole wait, and nothing told a hung request from a process that had ended or a revision that never came.

wait_status limits each request to 5 s and asks again until the same 60 s are over. When they are, it prints the number of requests, the last status or error, and for each process of the fleet its state and the end of its log. It fails at once if the router's process has ended, and the wait for the stand-ins if any process has. wait_for prints how often it asked. No condition and no limit of a wait has changed.

--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -207,7 +207,7 @@
         })
         .await;
     fleet.routers[0].process().terminate();
-    let mut process = fleet.routers[0].process.take().expect("router runs");
+    let process = fleet.routers[0].process.take().expect("router runs");
     let clean_exit = wait_for("router stops", async || process.exit_success()).await;
     assert!(clean_exit);
     let again = caller.order(fleet.entry(1), &spent, ORDER).await;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -13,7 +13,9 @@
 
 use hawthornrouter::board::StatusSection;
 use hawthornrouter::bundle::{ConfigBundle, MANIFEST_KEY};
-use hawthornrouter::client::{CONNECT_TIMEOUT, ClientLimits, ClientRequest, HttpClient};
+use hawthornrouter::client::{
+    CONNECT_TIMEOUT, ClientError, ClientLimits, ClientRequest, HttpClient,
+};
 use hawthornrouter::ids::RevisionNumber;
 use hawthornrouter::locator::EntryResponse;
 use hawthornrouter::register::{
@@ -39,6 +41,10 @@
 /// on it.
 pub const HANG_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Time limit of one of the requests of [`TestFleet::wait_status`], so that a request which hangs
+/// leaves time for others.
+const STATUS_LIMIT: Duration = Duration::from_secs(5);
+
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The range lies below the ephemeral ports, which outgoing connections use.
@@ -287,6 +293,7 @@
         requests.extend(engines.map(|engine| ClientRequest::get(engine.address, "/record")));
         for request in requests {
             wait_for("stand-in responds", async || {
+                self.processes().for_each(TestProcess::assert_running);
                 let response = self.client.send(request.clone()).await;
                 response.is_ok().then_some(())
             })
@@ -389,22 +396,61 @@
 
     /// Returns the status page of a router, or `None` when it is unreachable.
     pub async fn status(&self, index: usize) -> Option<StatusSection> {
+        self.request_status(index, HANG_TIMEOUT).await.ok()
+    }
+
+    async fn request_status(
+        &self,
+        index: usize,
+        limit: Duration,
+    ) -> Result<StatusSection, ClientError> {
         let request = ClientRequest::get(self.routers[index].settings.admin, "/v1/status");
-        let response = self.client.send(request.bearer(ADMIN_TOKEN)).await.ok()?;
-        response.json().await.ok()
+        let request = request.bearer(ADMIN_TOKEN);
+        let response = self.client.send_with_timeout(request, limit).await?;
+        response.json().await
     }
 
-    /// Waits until a router's status satisfies `predicate`, and returns that status.
+    /// Waits until a router's status satisfies `predicate`, and returns that status. Fails at once
+    /// if the router's process has exited.
     pub async fn wait_status(
         &self,
         index: usize,
         condition: &str,
         predicate: impl Fn(&StatusSection) -> bool,
     ) -> StatusSection {
-        wait_for(condition, async || {
-            self.status(index).await.filter(|status| predicate(status))
+        let mut requests = 0;
+        let mut last = None;
+        let wait = async {
+            loop {
+                if let Some(process) = &self.routers[index].process {
+                    process.assert_running();
+                }
+                requests += 1;
+                match self.request_status(index, STATUS_LIMIT).await {
+                    Ok(status) if predicate(&status) => return status,
+                    result => last = Some(result),
+                }
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let found = tokio::time::timeout(HANG_TIMEOUT, wait).await;
+        found.unwrap_or_else(|_| {
+            let reports: Vec<String> = self.processes().map(TestProcess::report).collect();
+            panic!(
+                "timed out waiting until: {condition}; router {index}, {requests} requests, \
+                 last response: {last:?}\n{}",
+                reports.join("\n")
+            )
         })
-        .await
+    }
+
+    /// Processes of the fleet that were started and not taken from it.
+    fn processes(&self) -> impl Iterator<Item = &TestProcess> {
+        let standins = [&self.config, &self.vm_list, &self.service, &self.locator];
+        let standins = standins.into_iter().chain(&self.engines);
+        let processes = standins.map(|node| &node.process);
+        let processes = processes.chain(self.routers.iter().map(|router| &router.process));
+        processes.chain([&self.relay_process]).flatten()
     }
 
     /// Waits until every router serves requests, reaches all its peers and has a load report of
@@ -504,8 +550,10 @@
 
 /// Polls until `probe` returns a value. Panics with `condition` after [`HANG_TIMEOUT`].
 pub async fn wait_for<T>(condition: &str, mut probe: impl AsyncFnMut() -> Option<T>) -> T {
+    let mut probes = 0;
     let wait = async {
         loop {
+            probes += 1;
             if let Some(found) = probe().await {
                 return found;
             }
@@ -513,5 +561,5 @@
         }
     };
     let found = tokio::time::timeout(HANG_TIMEOUT, wait).await;
-    found.unwrap_or_else(|_| panic!("timed out waiting until: {condition}"))
+    found.unwrap_or_else(|_| panic!("timed out waiting until: {condition}; {probes} probes"))
 }
--- a/tests/fleet/process.rs
+++ b/tests/fleet/process.rs
@@ -1,8 +1,10 @@
 //! Processes of a test fleet, which are killed when their handle is dropped.
 
-use std::fs::File;
+use std::cell::RefCell;
+use std::fmt::Write;
+use std::fs::{self, File};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -20,34 +22,80 @@
     path
 }
 
+/// Number of lines of a log that a failure quotes.
+const QUOTED_LINES: usize = 30;
+
 /// A child process, which logs to `{name}.log` in the fleet's directory.
 pub struct TestProcess {
-    child: Child,
+    name: String,
+    child: RefCell<Child>,
+    log: PathBuf,
 }
 
 impl TestProcess {
     pub fn start(binary: &Path, args: &[String], dir: &Path, name: &str) -> Self {
         let log = dir.join(format!("{name}.log"));
-        let log = File::options()
+        let log_file = File::options()
             .create(true)
             .append(true)
-            .open(log)
+            .open(&log)
             .expect("log file");
         let child = Command::new(binary)
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log)
+            .stderr(log_file)
             .spawn()
             .expect("process starts");
-        Self { child }
+        Self {
+            name: name.to_owned(),
+            child: RefCell::new(child),
+            log,
+        }
+    }
+
+    fn id(&self) -> u32 {
+        self.child.borrow().id()
     }
 
     fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).expect("process id");
+        let pid = i32::try_from(self.id()).expect("process id");
         kill(Pid::from_raw(pid), signal).expect("signal");
     }
 
+    fn exit_status(&self) -> Option<ExitStatus> {
+        self.child.borrow_mut().try_wait().expect("wait")
+    }
+
+    /// Fails with the end of the log if the process has exited.
+    pub fn assert_running(&self) {
+        assert!(self.exit_status().is_none(), "{}", self.report());
+    }
+
+    /// Describes whether the process runs, with the end of its log.
+    pub fn report(&self) -> String {
+        let state = match self.exit_status() {
+            Some(status) => format!("exited, {status}"),
+            None => format!("process {} is in state {}", self.id(), self.kernel_state()),
+        };
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        let mut report = format!("{}: {state}", self.name);
+        for line in &lines[lines.len().saturating_sub(QUOTED_LINES)..] {
+            // Writing to a string can't fail.
+            let _ = write!(report, "\n  {line}");
+        }
+        report
+    }
+
+    /// Returns the state as the kernel names it, such as `S` for sleeping and `T` for stopped.
+    fn kernel_state(&self) -> String {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()));
+        let status = status.unwrap_or_default();
+        let state = status.lines().find_map(|line| line.strip_prefix("State:"));
+        state.unwrap_or("unknown").trim().to_owned()
+    }
+
     /// Stops the process with SIGSTOP. Its connections stay open.
     pub fn pause(&self) {
         self.signal(Signal::SIGSTOP);
@@ -64,23 +112,20 @@
     }
 
     /// Returns whether the process exited successfully, or `None` while it is running.
-    pub fn exit_success(&mut self) -> Option<bool> {
-        self.child
-            .try_wait()
-            .expect("wait")
-            .map(|status| status.success())
+    pub fn exit_success(&self) -> Option<bool> {
+        self.exit_status().map(|status| status.success())
     }
 
     /// Sends SIGKILL and waits for the exit.
-    pub fn kill(mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+    pub fn kill(self) {
+        drop(self);
     }
 }
 
 impl Drop for TestProcess {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let child = self.child.get_mut();
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -53,7 +53,7 @@
         let response = response.expect("caller");
         assert!(response.is_complete(40), "{response:?}");
     }
-    let mut process = fleet.routers[0].process.take().expect("router runs");
+    let process = fleet.routers[0].process.take().expect("router runs");
     assert!(wait_for("router stops", async || process.exit_success()).await);
     let status = fleet.status(1).await.expect("status");
     assert_eq!(status.handed_ledgers, 1);
@@ -79,7 +79,7 @@
 #[ntex::test]
 async fn locator_stops() {
     let mut fleet = TestFleet::start(FleetPlan::new("locator_stops")).await;
-    let mut process = fleet.locator.process.take().expect("locator runs");
+    let process = fleet.locator.process.take().expect("locator runs");
     process.terminate();
     assert!(wait_for("locator stops", async || process.exit_success()).await);
 }
--- a/tests/operator_commands.rs
+++ b/tests/operator_commands.rs
@@ -174,6 +174,6 @@
             .status
             .success()
     );
-    let mut process = fleet.routers[0].process.take().expect("router runs");
+    let process = fleet.routers[0].process.take().expect("router runs");
     assert!(wait_for("router stops", async || process.exit_success()).await);
 }
