Reserve a block of ports for each test process

free_address chose ports by the process id and checked by connecting that nobody listened yet; the processes that use them bind later. Two test processes whose ids differ by one start 37 ports apart and use up to 165 each, so that they give out the same ports. A process that finds its port taken ends with "Address already in use".

A test process now reserves 500 ports by listening on the first of them for as long as it runs, and takes its ports from there. It still skips a port on which something that a killed test left behind listens, and fails once it has used all its ports, or if no block is free.

Two processes started at once, with four schedules each: before, 10 of 11 pairs failed with "Address already in use"; now 12 of 12 pairs pass. With all but two of the forty blocks taken, two processes pass and a third fails with "a free block of ports". All 11 tests of fault_schedule and 4 of paused_process pass.

--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -6,8 +6,9 @@
 pub mod process;
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
+use std::sync::LazyLock;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
@@ -51,17 +52,46 @@
 const FIRST_PORT: u16 = 10_000;
 const PORT_COUNT: u16 = 20_000;
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+/// Ports that one test process may use.
+const BLOCK_PORTS: u16 = 500;
 
-/// Returns a loopback address that no process listens on.
+/// Ports of this test process. Other test processes use other blocks while it runs, because it
+/// listens on the first port of its own.
+struct PortBlock {
+    first: u16,
+    next: AtomicU16,
+    _lock: TcpListener,
+}
+
+impl PortBlock {
+    fn reserve() -> Self {
+        let count = PORT_COUNT / BLOCK_PORTS;
+        let start = (std::process::id() % u32::from(count)) as u16;
+        let blocks = (0..count).map(|offset| (start + offset) % count);
+        blocks
+            .map(|block| FIRST_PORT + block * BLOCK_PORTS)
+            .find_map(|first| {
+                let lock = TcpListener::bind((Ipv4Addr::LOCALHOST, first)).ok()?;
+                Some(Self {
+                    first,
+                    next: AtomicU16::new(1),
+                    _lock: lock,
+                })
+            })
+            .expect("a free block of ports")
+    }
+}
+
+/// Returns a loopback address that no process listens on, and never the same one twice.
 pub fn free_address() -> SocketAddr {
-    let start = (std::process::id() % u32::from(PORT_COUNT)) as u16;
+    static BLOCK: LazyLock<PortBlock> = LazyLock::new(PortBlock::reserve);
     loop {
-        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (start.wrapping_mul(37) % PORT_COUNT + step) % PORT_COUNT;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        // Checked by connecting, because a process that another test spawns at this moment could
-        // inherit the socket of a trial bind.
+        let step = BLOCK.next.fetch_add(1, Ordering::Relaxed);
+        assert!(step < BLOCK_PORTS, "the test process used all its ports");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, BLOCK.first + step));
+        // A process that a killed test left behind may still listen. Checked by connecting, because
+        // a process that another test spawns at this moment could inherit the socket of a trial
+        // bind.
         if TcpStream::connect(address).is_err() {
             return address;
         }
