--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -6,14 +6,17 @@
 pub mod process;
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
+use std::sync::LazyLock;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use hawthornrouter::board::StatusSection;
 use hawthornrouter::bundle::{ConfigBundle, MANIFEST_KEY};
-use hawthornrouter::client::{CONNECT_TIMEOUT, ClientLimits, ClientRequest, HttpClient};
+use hawthornrouter::client::{
+    CONNECT_TIMEOUT, ClientError, ClientLimits, ClientRequest, HttpClient,
+};
 use hawthornrouter::ids::RevisionNumber;
 use hawthornrouter::locator::EntryResponse;
 use hawthornrouter::register::{
@@ -39,23 +42,56 @@
 /// on it.
 pub const HANG_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Time limit of one of the requests of [`TestFleet::wait_status`], so that a request which hangs
+/// leaves time for others.
+const STATUS_LIMIT: Duration = Duration::from_secs(5);
+
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The range lies below the ephemeral ports, which outgoing connections use.
 const FIRST_PORT: u16 = 10_000;
 const PORT_COUNT: u16 = 20_000;
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+/// Ports that one test process may use.
+const BLOCK_PORTS: u16 = 500;
 
-/// Returns a loopback address that no process listens on.
+/// Ports of this test process. Other test processes use other blocks while it runs, because it
+/// listens on the first port of its own.
+struct PortBlock {
+    first: u16,
+    next: AtomicU16,
+    _lock: TcpListener,
+}
+
+impl PortBlock {
+    fn reserve() -> Self {
+        let count = PORT_COUNT / BLOCK_PORTS;
+        let start = (std::process::id() % u32::from(count)) as u16;
+        let blocks = (0..count).map(|offset| (start + offset) % count);
+        blocks
+            .map(|block| FIRST_PORT + block * BLOCK_PORTS)
+            .find_map(|first| {
+                let lock = TcpListener::bind((Ipv4Addr::LOCALHOST, first)).ok()?;
+                Some(Self {
+                    first,
+                    next: AtomicU16::new(1),
+                    _lock: lock,
+                })
+            })
+            .expect("a free block of ports")
+    }
+}
+
+/// Returns a loopback address that no process listens on, and never the same one twice.
 pub fn free_address() -> SocketAddr {
-    let start = (std::process::id() % u32::from(PORT_COUNT)) as u16;
+    static BLOCK: LazyLock<PortBlock> = LazyLock::new(PortBlock::reserve);
     loop {
-        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (start.wrapping_mul(37) % PORT_COUNT + step) % PORT_COUNT;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        // Checked by connecting, because a process that another test spawns at this moment could
-        // inherit the socket of a trial bind.
+        let step = BLOCK.next.fetch_add(1, Ordering::Relaxed);
+        assert!(step < BLOCK_PORTS, "the test process used all its ports");
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, BLOCK.first + step));
+        // A process that a killed test left behind may still listen. Checked by connecting, because
+        // a process that another test spawns at this moment could inherit the socket of a trial
+        // bind.
         if TcpStream::connect(address).is_err() {
             return address;
         }
@@ -287,6 +323,7 @@
         requests.extend(engines.map(|engine| ClientRequest::get(engine.address, "/record")));
         for request in requests {
             wait_for("stand-in responds", async || {
+                self.processes().for_each(TestProcess::assert_running);
                 let response = self.client.send(request.clone()).await;
                 response.is_ok().then_some(())
             })
@@ -389,22 +426,61 @@
 
     /// Returns the status page of a router, or `None` when it is unreachable.
     pub async fn status(&self, index: usize) -> Option<StatusSection> {
+        self.request_status(index, HANG_TIMEOUT).await.ok()
+    }
+
+    async fn request_status(
+        &self,
+        index: usize,
+        limit: Duration,
+    ) -> Result<StatusSection, ClientError> {
         let request = ClientRequest::get(self.routers[index].settings.admin, "/v1/status");
-        let response = self.client.send(request.bearer(ADMIN_TOKEN)).await.ok()?;
-        response.json().await.ok()
+        let request = request.bearer(ADMIN_TOKEN);
+        let response = self.client.send_with_timeout(request, limit).await?;
+        response.json().await
     }
 
-    /// Waits until a router's status satisfies `predicate`, and returns that status.
+    /// Waits until a router's status satisfies `predicate`, and returns that status. Fails at once
+    /// if the router's process has exited.
     pub async fn wait_status(
         &self,
         index: usize,
         condition: &str,
         predicate: impl Fn(&StatusSection) -> bool,
     ) -> StatusSection {
-        wait_for(condition, async || {
-            self.status(index).await.filter(|status| predicate(status))
+        let mut requests = 0;
+        let mut last = None;
+        let wait = async {
+            loop {
+                if let Some(process) = &self.routers[index].process {
+                    process.assert_running();
+                }
+                requests += 1;
+                match self.request_status(index, STATUS_LIMIT).await {
+                    Ok(status) if predicate(&status) => return status,
+                    result => last = Some(result),
+                }
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let found = tokio::time::timeout(HANG_TIMEOUT, wait).await;
+        found.unwrap_or_else(|_| {
+            let reports: Vec<String> = self.processes().map(TestProcess::report).collect();
+            panic!(
+                "timed out waiting until: {condition}; router {index}, {requests} requests, \
+                 last response: {last:?}\n{}",
+                reports.join("\n")
+            )
         })
-        .await
+    }
+
+    /// Processes of the fleet that were started and not taken from it.
+    fn processes(&self) -> impl Iterator<Item = &TestProcess> {
+        let standins = [&self.config, &self.vm_list, &self.service, &self.locator];
+        let standins = standins.into_iter().chain(&self.engines);
+        let processes = standins.map(|node| &node.process);
+        let processes = processes.chain(self.routers.iter().map(|router| &router.process));
+        processes.chain([&self.relay_process]).flatten()
     }
 
     /// Waits until every router serves requests, reaches all its peers and has a load report of
@@ -504,8 +580,10 @@
 
 /// Polls until `probe` returns a value. Panics with `condition` after [`HANG_TIMEOUT`].
 pub async fn wait_for<T>(condition: &str, mut probe: impl AsyncFnMut() -> Option<T>) -> T {
+    let mut probes = 0;
     let wait = async {
         loop {
+            probes += 1;
             if let Some(found) = probe().await {
                 return found;
             }
@@ -513,5 +591,5 @@
         }
     };
     let found = tokio::time::timeout(HANG_TIMEOUT, wait).await;
-    found.unwrap_or_else(|_| panic!("timed out waiting until: {condition}"))
+    found.unwrap_or_else(|_| panic!("timed out waiting until: {condition}; {probes} probes"))
 }
