Name software versions in log lines

Cause: neither call nor attempt-failed told which version an event came from, so that the hypotheses of the joined versions could not be told apart. Change: an upstream's entry keeps its version; choice, call and upstream-known name it, and call and attempt-failed name the request that began a resumed stream. Measured: odd_entries, stream_resume, call_tag, request_trace and store_view pass.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -53,6 +53,8 @@
     pub prompt: Vec<PromptPart>,
     /// Last event that the caller received of an interrupted response; `None` for a new call.
     pub resume_after: Option<u64>,
+    /// Id of the request that brought the first event of the interrupted response.
+    pub resumes: Option<Bytes>,
     /// Headers to forward to the upstream, without connection headers and those that only the
     /// router may set.
     pub headers: HeaderMap,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod pause_detector;
 pub mod peer_view;
 pub mod renewal_outage;
+pub mod software_version;
 pub mod store_role;
 pub mod store_stamp;
 pub mod store_view;
--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -536,7 +536,7 @@
         {
             spdlog::info!("upstream-known", kv: {
                 upstream: = entry.id, service: = entry.service, address: = entry.address,
-                state:? = entry.state, revision: = revision, era: = era
+                state:? = entry.state, version: = entry.version, revision: = revision, era: = era
             });
         }
         MergeEffect {
--- a/src/fleet/upstream_entry.rs
+++ b/src/fleet/upstream_entry.rs
@@ -8,7 +8,8 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::{DataCenterId, ServiceId, UpstreamId, UpstreamStart};
+use crate::fleet::software_version::SoftwareVersion;
+use crate::ids::{DataCenterId, ServiceId, UpstreamId, UpstreamStart, VersionTag};
 use crate::mono::MonoTime;
 
 /// Whether an upstream accepts new work.
@@ -47,6 +48,8 @@
     /// Address on which it listens. Another upstream may be registered with it later.
     pub address: SocketAddr,
     pub data_center: DataCenterId,
+    /// Version of the software that this start of the upstream runs.
+    pub version: SoftwareVersion,
     /// Number of calls that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts new work.
@@ -65,6 +68,11 @@
         self.used_until.is_some_and(|until| until <= now)
     }
 
+    /// Identifies the software version among those of all services.
+    pub fn version_tag(&self) -> VersionTag {
+        self.version.tag(&self.service)
+    }
+
     /// Identifies this start of the upstream.
     pub fn start(&self) -> UpstreamStart {
         let started = self.started.unwrap_or_default();
--- a/src/forward/choice_record.rs
+++ b/src/forward/choice_record.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use crate::fleet::software_version::SoftwareVersion;
 use crate::ids::UpstreamId;
 
 /// The choice of an upstream for an attempt. `Display` writes the value of the log
@@ -11,6 +12,8 @@
 #[derive(Clone, Debug)]
 pub struct ChoiceRecord {
     pub upstream: UpstreamId,
+    /// Version of the upstream's software.
+    pub version: SoftwareVersion,
     /// Estimated load of the upstream when it was chosen, in calls.
     pub load: f64,
     /// Age of the list of upstreams, in milliseconds.
@@ -29,9 +32,9 @@
         let link = if self.reused.get() { "kept" } else { "new" };
         write!(f, "{},load:{:.0},", self.upstream, self.load)?;
         write!(f, "belief-ms:{},link:{link}", self.view_age_ms)?;
-        match self.cache_source {
-            Some(source) => write!(f, ",source:{source}"),
-            None => Ok(()),
+        if let Some(source) = self.cache_source {
+            write!(f, ",source:{source}")?;
         }
+        write!(f, ",version:{}", self.version)
     }
 }
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -135,6 +135,7 @@
     fn new_attempt(&self, guard: UpstreamGuard<D>, role: AttemptRole) -> UpstreamAttempt<D> {
         let choice = ChoiceRecord {
             upstream: guard.entry.id.clone(),
+            version: guard.entry.version.clone(),
             load: guard.load,
             view_age_ms: self.state.store_age_ms(),
             reused: Cell::new(false),
@@ -377,6 +378,7 @@
             id: = self.request_id(), outcome: = outcome, status: = status, kind: = kind,
             route: = self.plan.route.name, service: = self.service, rank: = self.plan.rank(),
             account: = account.map_or("none", |grant| grant.account.as_str()),
+            resumes: = self.resumed_id(),
             ms: = spent.as_millis(), first_ms: = first.as_millis(),
             events: = self.progress.event_count(), choice: = self.choice_text(),
             failed: = self.attempts.arrivals(), verdict:? = verdict,
@@ -388,6 +390,12 @@
         String::from_utf8_lossy(&self.plan.head.request_id)
     }
 
+    /// The call that began the stream which this one takes up, for the log.
+    fn resumed_id(&self) -> Cow<'_, str> {
+        let resumes = self.plan.head.resumes.as_deref();
+        resumes.map_or(Cow::Borrowed("none"), String::from_utf8_lossy)
+    }
+
     fn choice_text(&self) -> String {
         let latest = self.latest.as_ref();
         latest.map_or_else(|| "none".to_owned(), |latest| latest.choice.to_string())
@@ -476,7 +484,7 @@
             id: = self.request_id(), fault: = fault.label(), code:? = fault,
             verdict:? = self.attempts.verdict(), choice: = record.choice,
             events: = self.progress.event_count(),
-            partial_bytes: = record.choice.partial_bytes.get(),
+            partial_bytes: = record.choice.partial_bytes.get(), resumes: = self.resumed_id(),
             alone: = silent, in_time: = self.in_time(),
             affordable: = self.state.affordable(&self.service), next: = next,
             ms: = self.state.now().since(record.waiting_since()).as_millis(),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -122,6 +122,17 @@
     }
 }
 
+/// Identifies one software version of one service, see
+/// [`SoftwareVersion::tag`](crate::fleet::software_version::SoftwareVersion::tag).
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct VersionTag(pub u64);
+
+impl fmt::Display for VersionTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 fn check_id(text: &str) -> Result<(), ValueError> {
     let is_allowed =
         |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':');
--- a/tests/call_tag.rs
+++ b/tests/call_tag.rs
@@ -16,6 +16,7 @@
         key: None,
         prompt: Vec::new(),
         resume_after: None,
+        resumes: None,
         headers: HeaderMap::new(),
     }
 }
--- a/tests/store_codec/mod.rs
+++ b/tests/store_codec/mod.rs
@@ -42,6 +42,7 @@
         service: "app".parse()?,
         address: "127.0.0.1:1".parse()?,
         data_center: "a".parse()?,
+        version: "v1".parse()?,
         slots: 1,
         state: match state {
             "draining" => ServingState::Draining,
