--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -11,7 +11,7 @@
 
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
-use crate::ids::{AccountId, CallTag, DataCenterId, PartTag, UpstreamId};
+use crate::ids::{AccountId, CallTag, DataCenterId, PartTag, StreamTag, UpstreamId};
 use crate::route::PriorityRank;
 use crate::units::{RequestRate, RetryDelay};
 
@@ -78,20 +78,24 @@
     /// what differs when the same work is sent again: the request id, the deadline, the key (an
     /// account may have several), the last event that the caller received and all other headers.
     pub fn work_tag(&self, account: Option<&AccountId>, body: &[u8]) -> CallTag {
-        let fields = [
+        CallTag(hash_fields(&[
             self.method.as_str().as_bytes(),
             self.host.as_bytes(),
             self.target.as_bytes(),
             account.map_or(&b""[..], |account| account.as_str().as_bytes()),
             body,
-        ];
-        let mut hasher = Xxh3::new();
-        for field in fields {
-            // The length keeps the end of one field and the start of the next apart.
-            hasher.update(&(field.len() as u64).to_le_bytes());
-            hasher.update(field);
-        }
-        CallTag(hasher.digest())
+        ]))
+    }
+
+    /// The tag of the stream of `account` whose first event the request `first_id` brought. Requests
+    /// of other accounts or to other paths are other streams, whatever they name.
+    pub fn stream_tag(&self, account: Option<&AccountId>, first_id: &[u8]) -> StreamTag {
+        StreamTag::of_stream(hash_fields(&[
+            self.host.as_bytes(),
+            self.path().as_bytes(),
+            account.map_or(&b""[..], |account| account.as_str().as_bytes()),
+            first_id,
+        ]))
     }
 
     /// The prefix of the prompt that other requests may share. It excludes the last part, which
@@ -111,6 +115,16 @@
     }
 }
 
+fn hash_fields(fields: &[&[u8]]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for field in fields {
+        // The length keeps the end of one field and the start of the next apart.
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.digest()
+}
+
 /// Why the head of a request is refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct HeadFault {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -14,3 +14,4 @@
 pub mod store_view;
 pub mod upstream_entry;
 pub mod upstream_view;
+pub mod version_history;
--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -13,7 +13,9 @@
 use crate::fleet::cached_entry::{CachedEntry, EntryState, ListingVerdict};
 use crate::fleet::renewal_outage::{EXPIRY_GRACE, RenewalOutage, StoreFailure};
 use crate::fleet::store_stamp::{StoreRevision, StoreStamp};
-use crate::fleet::upstream_entry::UpstreamEntry;
+use crate::fleet::upstream_entry::{ServingState, StartTime, UpstreamEntry};
+use crate::fleet::version_history::{HistoryReport, VersionHistory, history_time};
+use crate::ids::PartTag;
 use crate::mono::MonoTime;
 use crate::route::{ConfigVersion, RouteTable};
 
@@ -87,6 +89,19 @@
     pub items: Vec<StoreItem>,
 }
 
+/// The changes of the store before this router read it.
+#[derive(Clone, Debug)]
+pub struct StoreHistory {
+    /// All changes after `after`, in the order of their revisions.
+    pub changes: Vec<StoreChange>,
+    pub after: StoreStamp,
+    /// For how long before now `changes` are all that happened, unless the store has discarded some of
+    /// its history early.
+    pub span: Duration,
+    /// The time `span` ago by the clock of this VM.
+    pub oldest_start: StartTime,
+}
+
 /// Decodes documents of the store. The platform supplies the implementation.
 pub trait DocumentCodec {
     /// The key of the configuration.
@@ -97,6 +112,17 @@
 
     /// Decodes the entry of an upstream; `None` if `key` is not the key of an entry.
     fn decode_entry(&self, key: &str, value: &Bytes) -> Option<anyhow::Result<UpstreamEntry>>;
+
+    /// The path at which upstreams list the parts of prompts that they have cached; `None` if they
+    /// don't.
+    fn cached_parts_path(&self) -> Option<&'static str> {
+        None
+    }
+
+    /// Decodes such a list.
+    fn decode_cached_parts(&self, _body: &Bytes) -> anyhow::Result<Vec<PartTag>> {
+        Ok(Vec::new())
+    }
 }
 
 /// The configuration in force.
@@ -149,6 +175,7 @@
     /// Number of entries that can't be decoded and that the merge in progress didn't log.
     unlogged: usize,
     outage: RenewalOutage,
+    history: VersionHistory,
 }
 
 impl<C: DocumentCodec> StoreView<C> {
@@ -166,6 +193,7 @@
             unusable_quota: MAX_LOGGED_ENTRIES,
             unlogged: 0,
             outage: RenewalOutage::default(),
+            history: VersionHistory::default(),
         }
     }
 
@@ -189,6 +217,10 @@
         }
     }
 
+    pub fn codec(&self) -> &C {
+        &self.codec
+    }
+
     /// The key of the configuration.
     pub fn config_key(&self) -> &str {
         self.codec.config_key()
@@ -212,6 +244,63 @@
         self.entries.values().filter_map(usable).collect()
     }
 
+    /// The software versions that were in use lately.
+    pub fn history(&self) -> &VersionHistory {
+        &self.history
+    }
+
+    /// Merges what a peer knows of the versions in use, without changes of the store.
+    pub fn merge_history(&mut self, report: &HistoryReport) {
+        self.history.merge(report);
+    }
+
+    /// Merges what a peer knows of the versions in use, after its changes were merged; `full` and
+    /// `known_until` are as in [`VersionHistory::merge_with_changes`]. Without a report, changes may
+    /// have been missed.
+    pub fn merge_peer_history(
+        &mut self,
+        report: Option<&HistoryReport>,
+        full: bool,
+        known_until: MonoTime,
+        now: MonoTime,
+    ) {
+        match report {
+            Some(report) => self.history.merge_with_changes(report, full, known_until),
+            None => self.history.record_gap(history_time(now)),
+        }
+    }
+
+    /// Merges what the store says of the time before this router read it. Without a gap in that, this
+    /// router knows of all versions in use since its beginning.
+    pub fn merge_store_history(&mut self, past: &StoreHistory, now: MonoTime) -> bool {
+        let mut named = BTreeSet::new();
+        for change in &past.changes {
+            let StoreChange::Written(item) = change else {
+                continue;
+            };
+            if let Some(Ok(entry)) = self.codec.decode_entry(&item.key, &item.value) {
+                let (service, version) = (entry.service.key(), entry.version_tag());
+                self.history.record(service, version, history_time(now));
+                named.insert(item.key.as_str());
+            }
+        }
+        let is_named = |change: &StoreChange| match change {
+            StoreChange::Removed { key, .. } => named.contains(key.as_str()),
+            StoreChange::Written(_) | StoreChange::Withheld { .. } => true,
+        };
+        // An entry that is younger than the history would be in it if none had been discarded early.
+        let was_discarded = self.entries.values().any(|cached| {
+            let started = cached.state.start();
+            cached.stamp <= past.after && started.is_some_and(|started| started > past.oldest_start)
+        });
+        let holds = past.changes.iter().all(is_named) && !was_discarded;
+        if holds {
+            self.history
+                .extend_coverage(history_time(now).saturating_sub(past.span));
+        }
+        holds
+    }
+
     /// Number of entries that are not used because they were removed before the store was restored.
     pub fn withheld_count(&self) -> usize {
         let withheld = |cached: &&CachedEntry| matches!(cached.state, EntryState::Withheld(..));
@@ -356,6 +445,9 @@
     /// Merges a full snapshot; entries that it doesn't contain were removed.
     pub fn merge_snapshot(&mut self, snapshot: StoreSnapshot, now: MonoTime) -> MergeEffect {
         let StoreSnapshot { stamp, items } = snapshot;
+        if self.stamp == StoreStamp::default() || self.stamp != stamp {
+            self.history.record_gap(history_time(now));
+        }
         self.begin_era(stamp, now);
         let grace = self.outage.expiry_grace(now);
         let listed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
@@ -379,7 +471,14 @@
     /// and discards old records of removals.
     pub fn tick(&mut self, now: MonoTime) -> MergeEffect {
         let mut effect = MergeEffect::default();
+        let history_now = history_time(now);
         for (key, cached) in &mut self.entries {
+            if let Some(entry) = cached.state.usable()
+                && entry.state == ServingState::Ready
+            {
+                let (service, version) = (entry.service.key(), entry.version_tag());
+                self.history.record(service, version, history_now);
+            }
             match &cached.state {
                 EntryState::Expiring(until, entry) if *until <= now => {
                     cached.state = EntryState::Removed(now, entry.started);
@@ -393,6 +492,7 @@
                 _ => {}
             }
         }
+        self.history.remove_expired(history_now);
         let discarded = &mut self.discarded;
         self.entries.retain(|_, cached| {
             let outdated = matches!(cached.state, EntryState::Removed(at, _) if now.since(at) > REMOVAL_RETENTION);
@@ -499,6 +599,13 @@
             Err(error) => (None, Some(error)),
         };
         let before = known.and_then(|cached| cached.state.usable().cloned());
+        let is_first_sight = known.is_none();
+        for entry in before.iter().chain(&entry) {
+            if is_first_sight || entry.state == ServingState::Ready {
+                let (service, version) = (entry.service.key(), entry.version_tag());
+                self.history.record(service, version, history_time(now));
+            }
+        }
         let doubtful = known
             .filter(|cached| cached.stamp.era < item.stamp.era && self.may_predate_era(item.stamp));
         let state = match (doubtful, entry) {
@@ -613,6 +720,12 @@
             return MergeEffect::default();
         }
         cached.stamp = stamp;
+        if let Some(entry) = cached.state.usable()
+            && entry.state == ServingState::Ready
+        {
+            let (service, version) = (entry.service.key(), entry.version_tag());
+            self.history.record(service, version, history_time(now));
+        }
         cached.state = match cached.state.usable() {
             Some(entry) if !grace.is_zero() => EntryState::expiring(now + grace, entry),
             _ => EntryState::Removed(now, cached.state.start()),
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -2,6 +2,7 @@
 
 mod crash_check;
 mod replacement;
+mod stream_origin;
 pub mod stream_source;
 mod upstream_attempt;
 
@@ -23,12 +24,13 @@
 use crate::forward::upstream_response::{CallPlan, FullResponse, OpenStream, UpstreamResponse};
 use crate::forward::wait_clock::WaitClock;
 use crate::forward::wait_limits::WaitLimits;
-use crate::ids::{ServiceId, SuspectTag, UpstreamKey};
+use crate::ids::{ServiceId, StreamTag, SuspectTag, UpstreamKey, VersionTag};
 use crate::mono::MonoTime;
 use crate::policy::call_attempts::{AttemptFault, CallAttempts, CallFailure, NextStep, RunVerdict};
 use crate::policy::call_exclusions::CallExclusions;
 
 use self::replacement::{AttemptEnd, RunningAttempt};
+use self::stream_origin::OriginSource;
 use self::upstream_attempt::{AttemptRole, UpstreamAttempt};
 
 /// A call in progress. Dropping it before [`FrontCall::finish`] logs that the caller left.
@@ -58,6 +60,12 @@
     is_sound: bool,
     /// What the caller has of the stream.
     progress: RelayProgress,
+    /// The stream that the call begins or takes up.
+    stream: StreamTag,
+    /// The only software version at which the stream may go on; `None` if it may begin at any.
+    version: Option<VersionTag>,
+    /// How the version of a stream that is taken up was found; `None` before the search.
+    origin: Option<OriginSource>,
     first_event: Option<MonoTime>,
     /// When a wait of the call was last checked for silence.
     checked_at: Option<MonoTime>,
@@ -78,6 +86,10 @@
         let parts = plan.head.shared_parts().filter(|_| prompt.is_some());
         let parts = parts.map(SuspectTag::Part);
         let account = plan.grant.as_ref().map(|grant| &grant.account);
+        let first_id = plan.head.resumes.as_ref();
+        let first_id = first_id.filter(|_| plan.head.resume_after.is_some());
+        let first_id = first_id.unwrap_or(&plan.head.request_id);
+        let stream = plan.head.stream_tag(account, first_id);
         let call = SuspectTag::Call(plan.head.work_tag(account, &plan.body));
         Self {
             suspects: std::iter::once(call).chain(parts).collect(),
@@ -91,6 +103,9 @@
             excluded: CallExclusions::default(),
             suspect: Vec::new(),
             unheard: Vec::new(),
+            stream,
+            version: None,
+            origin: None,
             first_event: None,
             checked_at: None,
             latest: None,
@@ -100,6 +115,9 @@
 
     /// Makes attempts until one returns a response for the caller.
     pub async fn forward(&mut self) -> Result<UpstreamResponse<D>, CallFailure> {
+        if self.origin.is_none() && !self.progress.has_begun() {
+            self.find_origin().await?;
+        }
         loop {
             if let Some(failure) = self.find_hold() {
                 return Err(failure);
@@ -233,7 +251,8 @@
             };
             let first = std::mem::take(&mut open.first);
             if !first.is_empty() {
-                return Ok(Some(self.relay(first)));
+                let version = open.source.guard.entry.version_tag();
+                return Ok(Some(self.relay(first, version)));
             }
             if open.ended {
                 self.record_complete();
@@ -255,7 +274,8 @@
                     open.ended = ended;
                     if !events.is_empty() {
                         self.record_sound();
-                        return Ok(Some(self.relay(events)));
+                        let version = open.source.guard.entry.version_tag();
+                        return Ok(Some(self.relay(events, version)));
                     }
                 }
                 AttemptEnd::Ended(Err(fault)) => {
@@ -327,10 +347,11 @@
         }
     }
 
-    /// Records that events go to the caller and returns their bytes.
-    fn relay(&mut self, events: EventBatch) -> Bytes {
+    /// Records that events of a software version go to the caller and returns their bytes.
+    fn relay(&mut self, events: EventBatch, version: VersionTag) -> Bytes {
         if self.first_event.is_none() {
             self.record_first_event();
+            self.bind_version(version);
         }
         self.progress.relay(events)
     }
@@ -379,6 +400,7 @@
             route: = self.plan.route.name, service: = self.service, rank: = self.plan.rank(),
             account: = account.map_or("none", |grant| grant.account.as_str()),
             resumes: = self.resumed_id(),
+            origin: = self.origin.map_or("none", OriginSource::label),
             ms: = spent.as_millis(), first_ms: = first.as_millis(),
             events: = self.progress.event_count(), choice: = self.choice_text(),
             failed: = self.attempts.arrivals(), verdict:? = verdict,
@@ -412,6 +434,7 @@
             self.prompt,
             &excluded,
             &self.suspect,
+            self.version,
         )
     }
 
--- a/src/forward/front_call/replacement.rs
+++ b/src/forward/front_call/replacement.rs
@@ -219,8 +219,14 @@
         self.excluded.remove_expired(self.state.now());
         let pick = |excluded: &[UpstreamKey]| {
             let plan = &self.plan;
-            self.state
-                .pick(&plan.table, &self.service, self.prompt, excluded, &[])
+            self.state.pick(
+                &plan.table,
+                &self.service,
+                self.prompt,
+                excluded,
+                &[],
+                self.version,
+            )
         };
         let mut excluded = self.excluded.keys();
         excluded.push(first.key());
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -36,6 +36,10 @@
 /// not take them.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Value of `retry-after` for calls that can't take up a stream: records of other routers or new
+/// upstreams of a version take about as long.
+const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Number of stream chunks that are buffered for a slow caller. A chunk has up to 400 KB if the
 /// upstream sends faster than the caller reads.
 const MAX_BUFFERED_CHUNKS: usize = 4;
@@ -81,6 +85,14 @@
                 retry_after: Some(retry_after),
                 ..Self::not_run("the upstreams take no more requests now")
             },
+            CallFailure::UnknownVersion => Self {
+                retry_after: Some(VERSION_RETRY_AFTER),
+                ..Self::not_run("it is not known which software version began the stream")
+            },
+            CallFailure::VersionGone => Self {
+                retry_after: Some(VERSION_RETRY_AFTER),
+                ..Self::not_run("the software version that began the stream is gone")
+            },
             CallFailure::Declined(retry_after) => Self {
                 retry_after: Some(retry_after),
                 ..Self::not_run("the upstreams want no requests now")
@@ -396,6 +408,8 @@
         CallFailure::Held(_) => "held",
         CallFailure::Limited(_) => "limited",
         CallFailure::Declined(_) => "declined",
+        CallFailure::UnknownVersion => "version-unknown",
+        CallFailure::VersionGone => "version-gone",
     }
 }
 
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -19,7 +19,7 @@
 use crate::forward::caller_connections::CallerConnections;
 use crate::forward::connection_pool::ConnectionPool;
 use crate::forward_board::ForwardBoard;
-use crate::ids::{RouteKey, ServiceId, SuspectTag, UpstreamKey};
+use crate::ids::{RouteKey, ServiceId, SuspectTag, UpstreamKey, VersionTag};
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::call_attempts::AttemptFault;
@@ -32,6 +32,7 @@
 use crate::policy::suspect_work::SuspectDecision;
 use crate::policy::upstream_choice::{
     Eligibility, SharedPart, UpstreamCandidate, choose_upstream, next_preferred,
+    restrict_candidates,
 };
 use crate::policy::upstream_stats::UpstreamStats;
 use crate::policy::upstream_waits::{UpstreamOpening, UpstreamWaits, service_wait, spread_wait};
@@ -223,8 +224,8 @@
         plan.admits(&need, now)
     }
 
-    /// Chooses an upstream of `service`. Upstreams in `excluded` are never chosen, those in
-    /// `suspect` only if no other is left. Returns `None` if no upstream can take the call.
+    /// Chooses an upstream of `service`, with this software version if there is one. Upstreams in
+    /// `excluded` are never chosen, those in `suspect` only if no other is left. Returns `None` if no upstream can take the call.
     pub fn pick(
         self: &Rc<Self>,
         table: &RouteTable,
@@ -232,6 +233,7 @@
         prompt: Option<PromptPrefix>,
         excluded: &[UpstreamKey],
         suspect: &[UpstreamKey],
+        version: Option<VersionTag>,
     ) -> Option<UpstreamGuard<D>> {
         let upstreams = self.board.upstreams.load();
         let members: Vec<&Arc<UpstreamEntry>> = upstreams
@@ -239,8 +241,12 @@
             .filter(|entry| entry.service == *service)
             .collect();
         self.merge_load_reports(&members);
-        let candidates = self.candidates(table, service, &members, excluded, suspect);
+        let mut candidates = self.candidates(table, service, &members, excluded, suspect);
         let bound = self.board.settings.load().affinity_bound;
+        if let Some(version) = version {
+            let is_other = |index: usize| members[index].version_tag() != version;
+            restrict_candidates(&mut candidates, is_other, bound);
+        }
         let now = self.now();
         let router_count = self.board.fleet_size.load(Ordering::Relaxed);
         let prompt_load = self.prompt_load.borrow();
@@ -453,6 +459,14 @@
         suspects.decide(tags, own, addresses, now)
     }
 
+    /// Returns whether a registered upstream of `service` has this software version and does not
+    /// leave.
+    pub fn serves_version(&self, service: &ServiceId, version: VersionTag) -> bool {
+        let upstreams = self.board.upstreams.load();
+        let mut members = upstreams.iter().filter(|entry| entry.service == *service);
+        members.any(|entry| entry.version_tag() == version && !self.leaves(entry))
+    }
+
     /// Returns whether the upstream is draining, has said that it leaves, or is no longer registered.
     pub fn is_leaving(&self, upstream: UpstreamKey) -> bool {
         let upstreams = self.board.upstreams.load();
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -4,15 +4,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::fleet::upstream_entry::UpstreamEntry;
+use crate::fleet::version_history::VersionHistory;
 use crate::forward_settings::ForwardSettings;
 use crate::policy::latest_loads::LatestLoads;
 use crate::policy::leaving_upstreams::LeavingUpstreams;
 use crate::policy::locate_choice::RouterPlace;
 use crate::policy::rate_limits::RateLimits;
 use crate::policy::stop_admission::StopPlan;
+use crate::policy::stream_versions::StreamVersions;
 use crate::policy::suspect_work::SuspectWork;
 use crate::route::{EdgeLimits, RouteTable};
 
@@ -53,6 +55,8 @@
     pub routes: ArcSwapOption<RouteTable>,
     /// All registered upstreams, draining ones included.
     pub upstreams: ArcSwap<Vec<Arc<UpstreamEntry>>>,
+    /// The software versions that were in use lately.
+    pub versions: ArcSwap<VersionHistory>,
     /// The routers that serve callers.
     pub serving_routers: ArcSwap<Vec<RouterPlace>>,
     /// Upper estimate of the number of routers.
@@ -60,6 +64,8 @@
     /// Time up to which this router has all changes of the store, in milliseconds of the process's
     /// clock; 0 before the first read.
     pub store_known_ms: AtomicU64,
+    /// When `serving_routers` was last updated, in milliseconds of the process's clock.
+    pub routers_known_ms: AtomicU64,
     /// The stop that was requested, if one was.
     pub stop_plan: ArcSwapOption<StopPlan>,
     /// Whether the calls in progress are to end, because the stop grace is nearly used up.
@@ -69,7 +75,12 @@
     /// Whether no call is in progress and all responses were sent; written by the traffic thread once
     /// the router is in stage `Closing`.
     pub responses_sent: AtomicBool,
+    /// Tells the control thread of records and questions for other routers.
+    pub streams_changed: Notify,
+    /// Number of messages with versions of streams that were merged.
+    pub streams_merged: watch::Sender<u64>,
     load_reports: Mutex<LatestLoads>,
+    stream_versions: Mutex<StreamVersions>,
     suspects: Mutex<SuspectWork>,
     rate_limits: Mutex<RateLimits>,
     leaving_upstreams: Mutex<LeavingUpstreams>,
@@ -83,14 +94,19 @@
             settings: ArcSwap::from_pointee(settings),
             routes: ArcSwapOption::empty(),
             upstreams: ArcSwap::default(),
+            versions: ArcSwap::default(),
             serving_routers: ArcSwap::default(),
             fleet_size: AtomicUsize::new(1),
             store_known_ms: AtomicU64::new(0),
+            routers_known_ms: AtomicU64::new(0),
             stop_plan: ArcSwapOption::empty(),
             calls_end: watch::Sender::new(false),
             calls: AtomicUsize::new(0),
             responses_sent: AtomicBool::new(false),
+            streams_changed: Notify::new(),
+            streams_merged: watch::Sender::new(0),
             load_reports: Mutex::default(),
+            stream_versions: Mutex::default(),
             suspects: Mutex::default(),
             rate_limits: Mutex::default(),
             leaving_upstreams: Mutex::default(),
@@ -98,6 +114,11 @@
         }
     }
 
+    /// Returns an upper estimate of the number of routers.
+    pub fn fleet_size(&self) -> usize {
+        self.fleet_size.load(Ordering::Relaxed)
+    }
+
     /// Locks the load reports of upstreams. Both threads keep the lock only briefly.
     pub fn load_reports(&self) -> MutexGuard<'_, LatestLoads> {
         self.load_reports
@@ -105,6 +126,13 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the versions of streams. Both threads keep the lock only briefly.
+    pub fn stream_versions(&self) -> MutexGuard<'_, StreamVersions> {
+        self.stream_versions
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the prompt parts that may crash upstreams. Both threads keep the lock only briefly.
     pub fn suspects(&self) -> MutexGuard<'_, SuspectWork> {
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/forward_control.rs
+++ b/src/forward_control.rs
@@ -8,14 +8,17 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
+use bytes::Bytes;
 use rand::RngExt;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
-use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, MissedTickBehavior};
 
+use crate::client::{ClientLimits, ClientRequest, HttpClient};
 use crate::error::{RouterError, RouterResult, StepName};
 use crate::fleet::member_table::{GOSSIP_PERIOD, MemberRecord, MemberStage};
 use crate::fleet::store_view::DocumentCodec;
@@ -23,6 +26,7 @@
 use crate::forward_control::control_state::ControlState;
 use crate::forward_control::store_task::{StoreCommand, follow_store};
 use crate::forward_settings::ForwardSettings;
+use crate::gossip::frames::DocumentResponse;
 use crate::gossip::{fetch_documents, serve_document_request};
 use crate::ids::{DataCenterTag, IncarnationId};
 use crate::store_source::StoreSource;
@@ -36,6 +40,19 @@
 /// are about a megabyte, and the link of a small VM carries three a second.
 const MAX_DOCUMENT_EXCHANGES: usize = 8;
 
+/// Limits on the lists of the parts that upstreams have cached.
+const PARTS_LIMITS: ClientLimits = ClientLimits {
+    connect_timeout: Duration::from_millis(300),
+    response_timeout: Duration::from_secs(1),
+    body_bytes: 1 << 20,
+};
+
+/// Longest time for which records of streams are collected before they are sent.
+const RECORDS_DELAY: Duration = Duration::from_millis(20);
+
+/// A peer, the time that its response to a request for documents took, and the response.
+type PeerResponse = (SocketAddrV4, Duration, RouterResult<DocumentResponse>);
+
 /// Where the settings are read from, at the start and at each reload.
 pub trait SettingsSource: Send + 'static {
     /// Reads the settings from their file.
@@ -80,6 +97,7 @@
         stage: MemberStage::Booting,
         data_center: DataCenterTag::from(&settings.data_center),
     };
+    let board = Arc::clone(&start.parts.board);
     let state = ControlState::new(start.codec, start.parts, own);
     let state = Rc::new(RefCell::new(state));
     spdlog::info!("start", kv: {
@@ -91,6 +109,8 @@
     let mut ticks = tokio::time::interval(GOSSIP_PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut datagram = vec![0; DATAGRAM_BYTES];
+    let parts_client = HttpClient::new(PARTS_LIMITS);
+    let mut records_due: Option<Instant> = None;
     loop {
         let stop_wait = state.borrow().stop_wait();
         tokio::select! {
@@ -127,33 +147,86 @@
                     break;
                 }
             }
+            () = board.streams_changed.notified() => {
+                if board.stream_versions().has_unsent() {
+                    records_due.get_or_insert_with(|| Instant::now() + RECORDS_DELAY);
+                }
+                let questions = state.borrow().take_stream_questions();
+                send_each(&gossip, questions).await;
+            }
+            () = sleep_until(records_due), if records_due.is_some() => {
+                records_due = None;
+                let records = state.borrow().take_stream_records();
+                send_each(&gossip, records).await;
+            }
             _ = term.recv() => stop(&gossip, &state).await,
             _ = interrupt.recv() => stop(&gossip, &state).await,
             _ = hangup.recv() => state.borrow_mut().reload(&start.settings, "signal"),
         }
+        let past_command = state.borrow_mut().past_command();
+        let _ = past_command.map(|command| commands.send(command));
         let notice = state.borrow_mut().take_notice();
         if let Some((frame, targets)) = notice {
             send_frame(&gossip, &frame, &targets).await;
         }
         let collections = state.borrow_mut().take_collections();
-        for (frame, target) in collections {
-            send_frame(&gossip, &frame, &[target]).await;
-        }
-        let request = state.borrow_mut().next_fetch();
-        if let Some((peer, request)) = request {
-            let response_sender = response_sender.clone();
-            tokio::task::spawn_local(async move {
-                let asked = Instant::now();
-                let response = fetch_documents(peer, request).await;
-                // Fails only when the control loop has ended and the response is not needed.
-                let _ = response_sender.send((peer, asked.elapsed(), response));
-            });
-        }
+        send_each(&gossip, collections).await;
+        ask_parts(&state, &parts_client);
+        fetch_from_peer(&state, &response_sender);
     }
     spdlog::info!("stop", kv: { vm: = settings.vm });
     Ok(())
 }
 
+/// Requests documents from a peer, if that is due.
+fn fetch_from_peer<C: DocumentCodec>(
+    state: &Rc<RefCell<ControlState<C>>>,
+    responses: &UnboundedSender<PeerResponse>,
+) {
+    let Some((peer, request)) = state.borrow_mut().next_fetch() else {
+        return;
+    };
+    let responses = responses.clone();
+    tokio::task::spawn_local(async move {
+        let asked = Instant::now();
+        let response = fetch_documents(peer, request).await;
+        // Fails only when the control loop has ended and the response is not needed.
+        let _ = responses.send((peer, asked.elapsed(), response));
+    });
+}
+
+/// Asks upstreams for the parts of prompts that they have cached, if the search for the versions of
+/// streams wants it.
+fn ask_parts<C: DocumentCodec + 'static>(
+    state: &Rc<RefCell<ControlState<C>>>,
+    client: &HttpClient,
+) {
+    let Some((upstreams, path)) = state.borrow_mut().take_part_questions() else {
+        return;
+    };
+    for entry in upstreams {
+        let (client, state) = (client.clone(), Rc::clone(state));
+        tokio::task::spawn_local(async move {
+            if let Some(body) = fetch_parts(&client, entry.address, path).await {
+                state.borrow_mut().merge_cached_parts(&entry, &body);
+            }
+        });
+    }
+}
+
+/// Asks an upstream for the parts of prompts that it has cached.
+async fn fetch_parts(
+    client: &HttpClient,
+    address: SocketAddr,
+    path: &'static str,
+) -> Option<Bytes> {
+    let response = client.send(ClientRequest::get(address, path)).await.ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    response.bytes().await.ok()
+}
+
 fn open_signal(kind: SignalKind) -> RouterResult<tokio::signal::unix::Signal> {
     signal(kind).map_err(|error| RouterError::step(StepName::Listen, "signals", error))
 }
@@ -166,6 +239,8 @@
         state.request_stop();
         state.known_addresses()
     };
+    let records = state.borrow().take_stream_records();
+    send_each(gossip, records).await;
     // Sent twice because datagrams may be lost.
     send_heartbeats(gossip, state, &targets).await;
     send_heartbeats(gossip, state, &targets).await;
@@ -183,6 +258,19 @@
     send_frame(gossip, &frame, targets).await;
 }
 
+async fn sleep_until(due: Option<Instant>) {
+    match due {
+        Some(due) => tokio::time::sleep_until(due).await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn send_each(gossip: &UdpSocket, frames: Vec<(Vec<u8>, SocketAddr)>) {
+    for (frame, target) in frames {
+        send_frame(gossip, &frame, &[target]).await;
+    }
+}
+
 async fn send_frame(gossip: &UdpSocket, frame: &[u8], targets: &[SocketAddr]) {
     for target in targets {
         if let Err(error) = gossip.send_to(frame, target).await {
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -1,7 +1,9 @@
 //! State of the control thread of a forwarding router: the last known documents of the store, the
 //! membership table, and the stage that follows from them.
 
+mod past_versions;
 mod peer_documents;
+mod stream_records;
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
@@ -16,11 +18,14 @@
 use crate::fleet::store_role::StoreRole;
 use crate::fleet::store_stamp::StoreStamp;
 use crate::fleet::store_view::{DocumentCodec, MAX_LOGGED_ENTRIES, MergeEffect, StoreView};
+use crate::fleet::upstream_entry::UpstreamEntry;
+use crate::fleet::version_history::history_time;
 use crate::forward_board::{ForwardBoard, ForwardStage};
 use crate::forward_control::SettingsSource;
+use crate::forward_control::control_state::past_versions::PastSearch;
 use crate::forward_control::store_task::{StoreCommand, StoreEvent};
 use crate::forward_settings::ForwardSettings;
-use crate::gossip::frames::{HeartbeatFrame, MemberColumns, SuspectColumns};
+use crate::gossip::frames::{HeartbeatFrame, MemberColumns, SuspectColumns, VersionColumns};
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::leaving_upstreams::{LeavingChange, MARK_ROUNDS, MAX_NOTICE_MARKS};
 use crate::policy::locate_choice::RouterPlace;
@@ -36,6 +41,13 @@
 /// Number of ticks between two reads of the settings file.
 const SETTINGS_READ_TICKS: u64 = 8;
 
+/// Time for which a router wants to know of all software versions in use. Below it, peers that know of
+/// a longer time tell it.
+const COVERAGE_SPAN: Duration = Duration::from_secs(100);
+
+/// Difference in the times that two routers know of, in milliseconds, above which one tells the other.
+const COVERAGE_GAIN_MS: u32 = 1000;
+
 /// State that the control thread shares with the traffic thread.
 pub struct ControlParts {
     /// Data that the control thread publishes for the traffic thread.
@@ -59,6 +71,9 @@
     /// State of the store that the last notice to peers announced.
     noticed: StoreStamp,
     stop_plan: Option<StopPlan>,
+    past_search: PastSearch,
+    /// Upstreams to ask for the parts of prompts that they have cached.
+    part_questions: Vec<Arc<UpstreamEntry>>,
     /// Why the settings file was rejected when it was last read.
     settings_fault: Option<String>,
     last_tick: MonoTime,
@@ -80,6 +95,12 @@
     pub stopped: bool,
 }
 
+/// The time since the start of this process, as long as it matters to peers.
+fn uptime_ms(now: MonoTime) -> Option<u32> {
+    let uptime = now.since(MonoTime::default());
+    (uptime < COVERAGE_SPAN).then_some(uptime.as_millis() as u32)
+}
+
 impl<C: DocumentCodec> ControlState<C> {
     /// Creates the state with this router's own record `own` and the seeds from the settings.
     pub fn new(codec: C, parts: ControlParts, own: MemberRecord) -> Self {
@@ -101,6 +122,8 @@
             store_unreachable: false,
             noticed: StoreStamp::default(),
             stop_plan: None,
+            past_search: PastSearch::default(),
+            part_questions: Vec::new(),
             settings_fault: None,
             last_tick: now,
             ticks: 0,
@@ -129,6 +152,27 @@
         self.heartbeat_frame(marks).encode_to_vec()
     }
 
+    /// Time up to which this router has all changes of the store.
+    fn known_until(&self, now: MonoTime) -> MonoTime {
+        let age = self.store_role.age(now);
+        now.saturating_sub(age.unwrap_or(now.0))
+    }
+
+    /// The software versions in use, for a peer.
+    fn version_columns(&self, now: MonoTime) -> VersionColumns {
+        let known_until = history_time(self.known_until(now));
+        VersionColumns::new(&self.store_view.history().report(known_until), now)
+    }
+
+    /// For how long this router knows of all software versions in use; `None` if that is longer than
+    /// they are remembered.
+    fn covered_ms(&self, now: MonoTime) -> Option<u32> {
+        let since = self.store_view.history().covered_since();
+        let covered = since.map_or(Duration::ZERO, |since| history_time(now).since(since));
+        let covered_ms = u32::try_from(covered.as_millis()).unwrap_or(u32::MAX);
+        (covered < COVERAGE_SPAN).then_some(covered_ms)
+    }
+
     /// A heartbeat with up to `marks` upstreams that leave.
     fn heartbeat_frame(&self, marks: usize) -> HeartbeatFrame {
         let now = self.now();
@@ -160,12 +204,11 @@
             members: Some(members),
             config_version: self.store_view.config_version().0,
             store_revision: stamp.revision.0,
-            loads: None,
             store_age_ms: age.map(|age| age.as_millis() as u64),
-            suspects: None,
-            rates: None,
             store_era: stamp.era.0,
-            leaving: None,
+            covered_ms: self.covered_ms(now),
+            uptime_ms: uptime_ms(now),
+            ..HeartbeatFrame::default()
         }
     }
 
@@ -225,6 +268,9 @@
             spdlog::info!("heartbeat-unreadable", kv: { bytes: = bytes.len() });
             return None;
         };
+        if let Some(columns) = &frame.streams {
+            return self.merge_streams(columns, now);
+        }
         let mut records = frame.members.iter().flat_map(MemberColumns::records);
         let (sender, _) = records.next()?;
         let new = !self.members.is_live(sender.address, now);
@@ -258,17 +304,34 @@
             });
             self.publish_members(now);
         }
+        if let Some(columns) = &frame.versions {
+            self.store_view.merge_history(&columns.report(now));
+        }
+        self.record_peer_uptime(frame.uptime_ms, now);
+        let lacks_history = frame.covered_ms.is_some_and(|covered| {
+            let own = self.covered_ms(now).unwrap_or(u32::MAX);
+            own > covered.saturating_add(COVERAGE_GAIN_MS)
+        });
         if let Some(report) = frame.store_report() {
             let stamp = self.store_view.stamp();
             self.store_role.record_report(report, stamp, now);
         }
         self.record_newer_peer(&sender, &frame);
-        if new {
-            return Some(self.heartbeat_frame(MAX_NOTICE_MARKS).encode_to_vec());
+        let objections = objections.filter(|objections| !objections.is_empty());
+        if !new && !lacks_history && objections.is_none() {
+            return None;
+        }
+        let mut reply = if new {
+            self.heartbeat_frame(MAX_NOTICE_MARKS)
+        } else {
+            self.notice_frame(now)
+        };
+        if !new && let Some(objections) = objections {
+            reply.suspects = Some(SuspectColumns::new(&objections, suspect_time(now)));
+        }
+        if lacks_history {
+            reply.versions = Some(self.version_columns(now)).filter(VersionColumns::fits_datagram);
         }
-        let objections = objections.filter(|objections| !objections.is_empty())?;
-        let mut reply = self.notice_frame(now);
-        reply.suspects = Some(SuspectColumns::new(&objections, suspect_time(now)));
         Some(reply.encode_to_vec())
     }
 
@@ -313,6 +376,10 @@
                 self.store_view.store_failed(StoreFailure::HistoryLost, now);
                 return;
             }
+            StoreEvent::Past(past) => {
+                self.merge_past(past);
+                return;
+            }
             StoreEvent::Failed(failure, error) => {
                 if !self.store_unreachable {
                     spdlog::warn!("store-lost", kv: {
@@ -351,6 +418,7 @@
             self.board
                 .upstreams
                 .store(Arc::new(self.store_view.upstreams()));
+            self.publish_versions(self.now());
         }
         self.update_stage();
     }
@@ -367,6 +435,10 @@
             })
             .collect();
         self.board.serving_routers.store(Arc::new(routers));
+        let known_ms = now.0.as_millis() as u64;
+        self.board
+            .routers_known_ms
+            .store(known_ms, Ordering::Relaxed);
         let fleet = self.members.fleet_size();
         self.board.fleet_size.store(fleet, Ordering::Relaxed);
         set_count(&self.telemetry.routers, live.len());
@@ -397,6 +469,7 @@
     /// Starts the stop: the router enters the leaving stage and calls in progress continue.
     pub fn request_stop(&mut self) {
         if self.stop_plan.is_none() {
+            self.board.stream_versions().spread_all();
             let grace = self.board.settings.load().stop_grace;
             self.set_stop_plan(StopPlan {
                 requested: self.now(),
@@ -428,6 +501,8 @@
         self.publish(effect);
         self.update_suspects(suspect_time(now));
         self.update_leaving(now);
+        self.publish_versions(now);
+        self.search_parts(now);
         let targets = self.members.begin_round(now, &mut rand::rng());
         self.publish_members(now);
         let calls = self.board.calls.load(Ordering::Relaxed);
--- /dev/null
+++ b/src/forward_control/control_state/past_versions.rs
@@ -0,0 +1,196 @@
+//! Finds out after a start, if no peer can tell, which software versions were in use before and which
+//! of them began the streams that may be taken up.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+
+use super::ControlState;
+use crate::fleet::store_view::{DocumentCodec, StoreHistory};
+use crate::fleet::upstream_entry::{StartTime, UpstreamEntry};
+use crate::fleet::version_history::{HISTORY_SPAN, history_time};
+use crate::forward_board::ForwardStage;
+use crate::forward_control::store_task::{PastChanges, StoreCommand};
+use crate::ids::{ServiceKey, StreamTag};
+use crate::mono::MonoTime;
+use crate::policy::stream_versions::{RecordHolder, choose_holders, stream_life};
+
+/// Time after the start in which peers tell how long they have been running.
+const PEERS_TIME: Duration = Duration::from_millis(300);
+
+/// Time between two attempts to read the store's history.
+const RETRY_TIME: Duration = Duration::from_secs(1);
+
+/// Number of attempts to read the store's history.
+const MAX_READS: u32 = 4;
+
+/// Largest difference between the clocks of two VMs that is allowed for.
+const CLOCK_TOLERANCE: Duration = Duration::from_secs(5);
+
+/// Number of routers that ask each upstream for its cached parts.
+const ASKING_ROUTERS: usize = 2;
+
+/// Progress of the search.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PastSearch {
+    reads: u32,
+    next_read: MonoTime,
+    is_done: bool,
+    /// When upstreams are to be asked for their cached parts.
+    parts_due: Option<MonoTime>,
+    /// Whether a peer has held the records of streams for as long as these may last.
+    has_old_peer: bool,
+}
+
+impl<C: DocumentCodec> ControlState<C> {
+    /// Whether all versions at which a stream may have begun are known.
+    pub(super) fn covers_streams(&self, now: MonoTime) -> bool {
+        let since = self.earliest_start(now);
+        let covered = self.store_view.history().covered_since();
+        covered.is_some_and(|covered| covered <= since)
+    }
+
+    /// When the oldest stream may have begun that is still taken up, on the clock of
+    /// [`history_time`].
+    pub(super) fn earliest_start(&self, now: MonoTime) -> MonoTime {
+        let config = self.store_view.config();
+        let limit = config.map(|config| config.table.stream_time_limit());
+        let slack = self.board.settings.load().apply_limit;
+        let life = stream_life(limit.unwrap_or_default()) + slack;
+        history_time(now).saturating_sub(life)
+    }
+
+    /// Returns the command to read the store's history if that is due.
+    pub fn past_command(&mut self) -> Option<StoreCommand> {
+        let now = self.now();
+        if self.past_search.is_done || self.board.stage() != ForwardStage::Serving {
+            return None;
+        }
+        if now < self.past_search.next_read {
+            return None;
+        }
+        let is_needed = !self.covers_streams(now) && self.past_search.reads < MAX_READS;
+        if !is_needed || !self.store_role.is_reading() {
+            self.past_search.is_done = true;
+            return None;
+        }
+        self.past_search.reads += 1;
+        self.past_search.next_read = now + RETRY_TIME;
+        Some(StoreCommand::ReadPast(self.store_view.stamp()))
+    }
+
+    /// Merges the store's history. If it leaves several versions possible, upstreams are asked where
+    /// requests ran.
+    pub(super) fn merge_past(&mut self, past: Option<PastChanges>) {
+        let now = self.now();
+        let Some(past) = past else {
+            spdlog::info!("store-past", kv: { read: = false });
+            return;
+        };
+        self.past_search.is_done = true;
+        let kept = self.board.settings.load().store_history;
+        let span = kept.saturating_sub(CLOCK_TOLERANCE);
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+        let oldest = wall.unwrap_or_default().saturating_sub(span);
+        let count = past.changes.changes.len();
+        let history = StoreHistory {
+            changes: past.changes.changes,
+            after: past.after,
+            span: if past.is_whole { HISTORY_SPAN } else { span },
+            oldest_start: StartTime(oldest.as_millis() as u64),
+        };
+        // A restored store has lost changes.
+        let is_first_era = past.after.era.0 == 0;
+        let holds = is_first_era && self.store_view.merge_store_history(&history, now);
+        spdlog::info!("store-past", kv: {
+            read: = true, after: = past.after.revision, changes: = count, whole: = past.is_whole,
+            holds: = holds
+        });
+        self.publish_versions(now);
+        self.past_search.parts_due = Some(now + PEERS_TIME);
+    }
+
+    /// Records for how long a peer has held records.
+    pub(super) fn record_peer_uptime(&mut self, uptime_ms: Option<u32>, now: MonoTime) {
+        let life = history_time(now).since(self.earliest_start(now));
+        let uptime = uptime_ms.map(|uptime_ms| Duration::from_millis(uptime_ms.into()));
+        self.past_search.has_old_peer |= uptime.is_none_or(|uptime| uptime >= life);
+    }
+
+    /// Decides whether to ask upstreams for their cached parts, once peers could tell that they have
+    /// the records of streams.
+    pub(super) fn search_parts(&mut self, now: MonoTime) {
+        if self
+            .past_search
+            .parts_due
+            .take_if(|due| *due <= now)
+            .is_some()
+            && !self.past_search.has_old_peer
+        {
+            self.part_questions = self.ambiguous_upstreams(now);
+        }
+    }
+
+    /// The upstreams that this router asks for their cached parts: those of services in which a stream
+    /// may have begun at one of several versions.
+    fn ambiguous_upstreams(&self, now: MonoTime) -> Vec<Arc<UpstreamEntry>> {
+        if self.store_view.codec().cached_parts_path().is_none() {
+            return Vec::new();
+        }
+        let since = self.earliest_start(now);
+        let history = self.store_view.history();
+        let is_ambiguous = |service: ServiceKey| history.sole_version(service, since).is_none();
+        let streamed = self.store_view.config();
+        let streamed = streamed.map(|config| config.table.stream_services());
+        let streamed = streamed.unwrap_or_default();
+        let own = self.members.own();
+        let mut routers = self.holders(now);
+        routers.push(RecordHolder {
+            address: own.address,
+            data_center: own.data_center,
+            is_leaving: false,
+        });
+        let upstreams = self.store_view.upstreams().into_iter();
+        upstreams
+            .filter(|entry| streamed.contains(&entry.service))
+            .filter(|entry| is_ambiguous(entry.service.key()))
+            .filter(|entry| {
+                let tag = StreamTag::of_stream(entry.id.key().0);
+                choose_holders(tag, &routers, ASKING_ROUTERS).contains(&own.address)
+            })
+            .collect()
+    }
+
+    /// Returns the upstreams to ask, and the path to ask for.
+    pub fn take_part_questions(&mut self) -> Option<(Vec<Arc<UpstreamEntry>>, &'static str)> {
+        let path = self.store_view.codec().cached_parts_path()?;
+        let questions = std::mem::take(&mut self.part_questions);
+        (!questions.is_empty()).then_some((questions, path))
+    }
+
+    /// Records the version at which the requests ran whose prompts an upstream has cached.
+    pub fn merge_cached_parts(&mut self, entry: &UpstreamEntry, body: &Bytes) {
+        let parts = match self.store_view.codec().decode_cached_parts(body) {
+            Ok(parts) => parts,
+            Err(error) => {
+                spdlog::info!("parts-unreadable", kv: { upstream: = entry.id, reason: = error });
+                return;
+            }
+        };
+        let now = self.now();
+        let config = self.store_view.config();
+        let limit = config.map(|config| config.table.stream_time_limit());
+        let until = now + stream_life(limit.unwrap_or_default());
+        let version = entry.version_tag();
+        let mut streams = self.board.stream_versions();
+        for &part in &parts {
+            streams.record_part(part, version, until);
+        }
+        drop(streams);
+        spdlog::info!("parts-known", kv: {
+            upstream: = entry.id, version: = entry.version, parts: = parts.len()
+        });
+        self.board.streams_changed.notify_one();
+    }
+}
--- a/src/forward_control/control_state/peer_documents.rs
+++ b/src/forward_control/control_state/peer_documents.rs
@@ -9,6 +9,7 @@
 use crate::fleet::member_table::MemberRecord;
 use crate::fleet::store_stamp::StoreStamp;
 use crate::fleet::store_view::{DocumentCodec, StoreChange, StoreItem};
+use crate::fleet::version_history::history_time;
 use crate::forward_board::ForwardStage;
 use crate::gossip::frames::{DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame};
 use crate::route::ConfigVersion;
@@ -86,6 +87,7 @@
             full,
             store_era: stamp.era.0,
             base_revision: self.store_view.base_revision().0,
+            versions: Some(self.version_columns(now)),
         }
     }
 
@@ -103,6 +105,10 @@
                 let count = response.documents.len();
                 let (stamp, base) = (response.store_stamp(), response.base());
                 let before = self.document_state();
+                let known_until = history_time(self.known_until(now));
+                // Ages grow by the time that the response took.
+                let versions = response.versions.as_ref();
+                let versions = versions.map(|columns| columns.report(now.saturating_sub(took)));
                 let changes = response
                     .documents
                     .into_iter()
@@ -114,6 +120,12 @@
                 } else {
                     self.store_view.merge_peer(changes, stamp, now)
                 };
+                self.store_view.merge_peer_history(
+                    versions.as_ref(),
+                    response.full,
+                    known_until,
+                    now,
+                );
                 self.fetch_plan
                     .end_fetch(self.document_state().is_ahead_of(before), now);
                 spdlog::info!("documents-from-peer", kv: {
--- /dev/null
+++ b/src/forward_control/control_state/stream_records.rs
@@ -0,0 +1,147 @@
+//! Records of the versions of streams, which routers tell each other.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use prost::Message;
+
+use super::ControlState;
+use crate::fleet::member_table::{MemberRecord, MemberStage};
+use crate::fleet::store_view::DocumentCodec;
+use crate::gossip::frames::{HeartbeatFrame, StreamColumns};
+use crate::ids::StreamTag;
+use crate::mono::MonoTime;
+use crate::policy::stream_versions::{
+    ASKED_HOLDERS, HOLDERS, MAX_MESSAGE_RECORDS, RecordHolder, StreamReport, choose_holders,
+};
+use crate::prometheus_metrics::set_count;
+
+impl<C: DocumentCodec> ControlState<C> {
+    /// Publishes the software versions in use, and has records sent while a stream may be taken up at
+    /// several of them.
+    pub(super) fn publish_versions(&self, now: MonoTime) {
+        let history = self.store_view.history();
+        let since = self.earliest_start(now);
+        let is_covered = self.covers_streams(now);
+        // No router can ask a stopped one for its records.
+        let is_mixed = !is_covered || self.stop_plan.is_some() || history.is_mixed(since);
+        self.board.versions.store(history.clone().into());
+        let mut streams = self.board.stream_versions();
+        streams.remove_expired(now);
+        streams.set_mixed(is_mixed);
+        if streams.has_unsent() {
+            self.board.streams_changed.notify_one();
+        }
+        set_count(&self.telemetry.stream_records, streams.len());
+        set_count(&self.telemetry.versions_mixed, u8::from(is_mixed));
+    }
+
+    pub(super) fn holders(&self, now: MonoTime) -> Vec<RecordHolder> {
+        let own = self.members.own().address;
+        let live = self.members.live(now).into_iter();
+        live.filter(|record| record.address != own)
+            .map(|record: MemberRecord| RecordHolder {
+                address: record.address,
+                data_center: record.data_center,
+                is_leaving: record.stage == MemberStage::Leaving,
+            })
+            .collect()
+    }
+
+    /// Returns the questions for records, each with the address of the router to send it to.
+    pub fn take_stream_questions(&self) -> Vec<(Vec<u8>, SocketAddr)> {
+        let questions = self.board.stream_versions().take_questions();
+        if questions.is_empty() {
+            return Vec::new();
+        }
+        let holders = self.holders(self.now());
+        let mut asked: BTreeMap<Ipv4Addr, Vec<StreamTag>> = BTreeMap::new();
+        for stream in questions {
+            let chosen = choose_holders(stream, &holders, ASKED_HOLDERS);
+            self.board.stream_versions().set_asked(stream, chosen.len());
+            for address in chosen {
+                asked.entry(address).or_default().push(stream);
+            }
+        }
+        if asked.is_empty() {
+            self.count_merged_streams();
+        }
+        let messages = asked.iter().flat_map(|(&address, streams)| {
+            streams.chunks(MAX_MESSAGE_RECORDS).map(move |streams| {
+                let columns = StreamColumns {
+                    asked: streams.iter().map(|stream| stream.0).collect(),
+                    ..StreamColumns::default()
+                };
+                (address, columns)
+            })
+        });
+        self.encode_streams(messages)
+    }
+
+    /// Returns the records that their holders lack, each with the address of the router to send it to.
+    pub fn take_stream_records(&self) -> Vec<(Vec<u8>, SocketAddr)> {
+        let now = self.now();
+        let records = self.board.stream_versions().take_unsent();
+        if records.is_empty() {
+            return Vec::new();
+        }
+        let holders = self.holders(now);
+        let mut held: BTreeMap<Ipv4Addr, Vec<StreamReport>> = BTreeMap::new();
+        for record in records {
+            for address in choose_holders(record.stream, &holders, HOLDERS) {
+                held.entry(address).or_default().push(record);
+            }
+        }
+        let messages = held.iter().flat_map(|(&address, records)| {
+            let parts = records.chunks(MAX_MESSAGE_RECORDS);
+            parts.map(move |records| (address, StreamColumns::new(records, now)))
+        });
+        self.encode_streams(messages)
+    }
+
+    fn encode_streams<I>(&self, messages: I) -> Vec<(Vec<u8>, SocketAddr)>
+    where
+        I: Iterator<Item = (Ipv4Addr, StreamColumns)>,
+    {
+        messages
+            .map(|(address, columns)| {
+                let frame = HeartbeatFrame::with_streams(columns);
+                (frame.encode_to_vec(), self.gossip_address(address))
+            })
+            .collect()
+    }
+
+    /// Merges a message about streams. Returns the answer to the questions in it, if there are any.
+    pub(super) fn merge_streams(&self, columns: &StreamColumns, now: MonoTime) -> Option<Vec<u8>> {
+        let mut streams = self.board.stream_versions();
+        for report in columns.reports(now) {
+            streams.merge(report);
+        }
+        for &stream in &columns.missing {
+            streams.record_missing(StreamTag(stream));
+        }
+        let mut known = Vec::new();
+        let mut missing = Vec::new();
+        for &stream in columns.asked.iter().take(MAX_MESSAGE_RECORDS) {
+            match streams.report(StreamTag(stream), now) {
+                Some(report) => known.push(report),
+                None => missing.push(stream),
+            }
+        }
+        drop(streams);
+        self.count_merged_streams();
+        if columns.asked.is_empty() {
+            return None;
+        }
+        let columns = StreamColumns {
+            missing,
+            ..StreamColumns::new(&known, now)
+        };
+        Some(HeartbeatFrame::with_streams(columns).encode_to_vec())
+    }
+
+    /// Has the calls that wait for a record look again.
+    fn count_merged_streams(&self) {
+        self.board.streams_merged.send_modify(|count| *count += 1);
+    }
+}
--- a/src/forward_control/store_task.rs
+++ b/src/forward_control/store_task.rs
@@ -54,10 +54,23 @@
     Changes(StoreChanges),
     /// The store has discarded the requested changes; all documents are read again.
     HistoryLost,
+    /// The changes that the store still has of the time before its first read, after the state `after`;
+    /// `is_whole` if these are all changes ever. `None` if they could not be read.
+    Past(Option<PastChanges>),
     /// A request failed; it is repeated after a wait.
     Failed(StoreFailure, anyhow::Error),
 }
 
+/// The oldest changes that the store still has, and all later ones.
+#[derive(Debug)]
+pub struct PastChanges {
+    pub changes: StoreChanges,
+    /// The state that the oldest change follows.
+    pub after: StoreStamp,
+    /// Whether no change was ever discarded.
+    pub is_whole: bool,
+}
+
 /// Commands of the control thread to this task.
 #[derive(Clone, Copy, Debug)]
 pub enum StoreCommand {
@@ -68,6 +81,9 @@
     /// without documents once a peer has delivered all of them up to this state, and to a router
     /// that begins to read the store.
     FollowFrom(StoreStamp),
+    /// Interrupts the pending request and reads all changes that the store still has from before this
+    /// state.
+    ReadPast(StoreStamp),
     /// Drops the pending request and sends no more until the next command. Sent to a router that
     /// leaves the reading to its peers.
     Suspend,
@@ -101,10 +117,11 @@
         matches!(self, Self::Reading(snapshot) if snapshot.items.is_empty())
     }
 
-    fn after(command: StoreCommand) -> Self {
+    fn after(self, command: StoreCommand) -> Self {
         match command {
             StoreCommand::Restart => Self::start(),
             StoreCommand::FollowFrom(stamp) => Self::Following(stamp),
+            StoreCommand::ReadPast(_) => self,
             StoreCommand::Suspend => Self::Suspended,
         }
     }
@@ -162,6 +179,45 @@
     }
 }
 
+/// Searches the oldest state after which the store still has all changes, and reads these. Returns
+/// `None` if a request fails.
+async fn read_past<S: StoreSource>(source: &mut S, known: StoreStamp) -> Option<PastChanges> {
+    let era = known.era.0;
+    let mut lost = None;
+    let mut after = known.revision.0;
+    let mut changes = StoreChanges {
+        stamp: known,
+        ..StoreChanges::default()
+    };
+    loop {
+        // The whole history first: it is not long if it can be read.
+        let next = match lost {
+            None => 0,
+            Some(lost) if after - lost <= 1 => break,
+            Some(lost) => lost + (after - lost) / 2,
+        };
+        let answer = source.watch(StoreStamp::new(era, next), PROBE_WAIT).await;
+        if answer.era != known.era {
+            return None;
+        }
+        match answer.result {
+            Ok(read) => {
+                (changes, after) = (read, next);
+                if next == 0 {
+                    break;
+                }
+            }
+            Err(StoreFault::HistoryLost) => lost = Some(next),
+            Err(StoreFault::WatchCut(_) | StoreFault::Failed(_)) => return None,
+        }
+    }
+    Some(PastChanges {
+        changes,
+        after: StoreStamp::new(era, after),
+        is_whole: after == 0,
+    })
+}
+
 /// Reads and watches the store until the control thread has closed a channel.
 pub async fn follow_store<S: StoreSource>(
     mut source: S,
@@ -199,7 +255,13 @@
                 if let StoreCommand::FollowFrom(stamp) = command {
                     era = era.max(stamp.era);
                 }
-                position = StorePosition::after(command);
+                if let StoreCommand::ReadPast(stamp) = command {
+                    let past = read_past(&mut source, stamp).await;
+                    if events.send(StoreEvent::Past(past)).is_err() {
+                        return;
+                    }
+                }
+                position = position.after(command);
                 continue;
             }
         };
--- a/src/forward_settings.rs
+++ b/src/forward_settings.rs
@@ -32,6 +32,8 @@
     pub seeds: Vec<Ipv4Addr>,
     /// Address of the configuration store.
     pub store: SocketAddrV4,
+    /// For how long the store keeps its history, unless it discards it sooner.
+    pub store_history: Duration,
     /// Load limit above which a prompt is not sent to its preferred upstream.
     pub affinity_bound: AffinityBound,
     /// Limits on retries, shared by all routers.
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -12,11 +12,16 @@
 use crate::fleet::store_role::StoreReport;
 use crate::fleet::store_stamp::StoreStamp;
 use crate::fleet::store_view::{StoreChange, StoreItem};
-use crate::ids::{CallTag, DataCenterTag, IncarnationId, PartTag, SuspectTag, UpstreamStart};
+use crate::fleet::version_history::{HistoryReport, VersionUse, history_time};
+use crate::ids::{
+    CallTag, DataCenterTag, IncarnationId, PartTag, ServiceKey, StreamTag, SuspectTag,
+    UpstreamStart, VersionTag,
+};
 use crate::mono::MonoTime;
 use crate::policy::latest_loads::{MAX_HEARTBEAT_REPORTS, UpstreamLoad, UpstreamTag};
 use crate::policy::leaving_upstreams::LeavingReport;
 use crate::policy::rate_limits::RateReport;
+use crate::policy::stream_versions::StreamReport;
 use crate::policy::suspect_reports::{CrashReport, SoundReport, SuspectReports};
 use crate::policy::suspect_work::suspect_time;
 use crate::units::RequestRate;
@@ -333,6 +338,121 @@
     }
 }
 
+/// Versions of streams, in a message between a router and the holders of its records. Each stream has
+/// the same index in all columns.
+#[derive(Clone, PartialEq, Message)]
+pub struct StreamColumns {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub streams: Vec<u64>,
+    /// The versions that began the streams, see [`VersionTag`].
+    #[prost(fixed64, repeated, tag = "2")]
+    pub versions: Vec<u64>,
+    /// Milliseconds for which the streams can still be taken up.
+    #[prost(uint32, repeated, tag = "3")]
+    pub left_ms: Vec<u32>,
+    /// Streams whose versions the sender asks for.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub asked: Vec<u64>,
+    /// Streams whose versions the sender was asked for and does not know.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub missing: Vec<u64>,
+}
+
+impl StreamColumns {
+    /// Converts reports to columns, with the times left at `now`.
+    pub fn new(reports: &[StreamReport], now: MonoTime) -> Self {
+        let left = |report: &StreamReport| {
+            u32::try_from(report.until.since(now).as_millis()).unwrap_or(u32::MAX)
+        };
+        Self {
+            streams: reports.iter().map(|report| report.stream.0).collect(),
+            versions: reports.iter().map(|report| report.version.0).collect(),
+            left_ms: reports.iter().map(left).collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Converts the columns to reports, with times of the local clock, which is at `now`.
+    pub fn reports(&self, now: MonoTime) -> impl Iterator<Item = StreamReport> {
+        let reports = self.streams.iter().zip(&self.versions).zip(&self.left_ms);
+        reports.map(move |((&stream, &version), &left_ms)| StreamReport {
+            stream: StreamTag(stream),
+            version: VersionTag(version),
+            until: now + Duration::from_millis(left_ms.into()),
+        })
+    }
+}
+
+/// Number of software versions in one heartbeat.
+const MAX_HEARTBEAT_VERSIONS: usize = 64;
+
+/// The software versions that were in use. Each has the same index in all columns.
+#[derive(Clone, PartialEq, Message)]
+pub struct VersionColumns {
+    /// Keys of the services.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub services: Vec<u64>,
+    /// Versions of the services, see [`VersionTag`].
+    #[prost(fixed64, repeated, tag = "2")]
+    pub versions: Vec<u64>,
+    /// Milliseconds since the versions were last in use.
+    #[prost(uint32, repeated, tag = "3")]
+    pub ages_ms: Vec<u32>,
+    /// Milliseconds since the time from which on the sender knows of all uses; `None` if there is no
+    /// such time.
+    #[prost(uint32, optional, tag = "4")]
+    pub covered_ms: Option<u32>,
+    /// Milliseconds since the time up to which the sender knows of all uses.
+    #[prost(uint32, tag = "5")]
+    pub known_ms: u32,
+}
+
+/// Returns the age of a time in whole milliseconds, which are never more than it is.
+fn age_ms(at: MonoTime, now: MonoTime) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+impl VersionColumns {
+    /// Whether the versions fit into a heartbeat.
+    pub fn fits_datagram(&self) -> bool {
+        self.versions.len() <= MAX_HEARTBEAT_VERSIONS
+    }
+
+    /// Converts a report to columns, with its ages at `now`.
+    pub fn new(report: &HistoryReport, now: MonoTime) -> Self {
+        let now = history_time(now);
+        let uses = &report.uses;
+        Self {
+            services: uses.iter().map(|entry| entry.service.0).collect(),
+            versions: uses.iter().map(|entry| entry.version.0).collect(),
+            ages_ms: uses
+                .iter()
+                .map(|entry| age_ms(entry.last_used, now))
+                .collect(),
+            covered_ms: report.covered_since.map(|since| age_ms(since, now)),
+            known_ms: age_ms(report.covered_until, now).saturating_add(1),
+        }
+    }
+
+    /// Converts the columns to a report, with times of the local clock, which is at `now`.
+    pub fn report(&self, now: MonoTime) -> HistoryReport {
+        let now = history_time(now);
+        let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
+        let uses = self.services.iter().zip(&self.versions).zip(&self.ages_ms);
+        HistoryReport {
+            uses: uses
+                .map(|((&service, &version), &age)| VersionUse {
+                    service: ServiceKey(service),
+                    version: VersionTag(version),
+                    last_used: time(age),
+                })
+                .collect(),
+            covered_since: self.covered_ms.map(time),
+            covered_until: time(self.known_ms),
+        }
+    }
+}
+
 /// A heartbeat, sent as one UDP datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct HeartbeatFrame {
@@ -364,6 +484,19 @@
     /// Upstreams that leave. They take no place of loads.
     #[prost(message, optional, tag = "9")]
     pub leaving: Option<LeavingColumns>,
+    /// Versions of streams. A message about these has no other fields.
+    #[prost(message, optional, tag = "10")]
+    pub streams: Option<StreamColumns>,
+    /// Milliseconds for which the sender knows of all software versions in use; `None` in frames of
+    /// earlier versions.
+    #[prost(uint32, optional, tag = "11")]
+    pub covered_ms: Option<u32>,
+    /// Milliseconds since the sender's process started, in the first minutes.
+    #[prost(uint32, optional, tag = "13")]
+    pub uptime_ms: Option<u32>,
+    /// The versions that were in use, for a router that knows of them for a shorter time.
+    #[prost(message, optional, tag = "12")]
+    pub versions: Option<VersionColumns>,
 }
 
 impl HeartbeatFrame {
@@ -394,6 +527,14 @@
         StoreStamp::new(self.store_era, self.store_revision)
     }
 
+    /// Creates a message about the versions of streams.
+    pub fn with_streams(streams: StreamColumns) -> Self {
+        Self {
+            streams: Some(streams),
+            ..Self::default()
+        }
+    }
+
     /// Adds upstreams that leave.
     pub fn set_leaving(&mut self, reports: &[LeavingReport], now: MonoTime) {
         self.leaving = (!reports.is_empty()).then(|| LeavingColumns::new(reports, now));
@@ -471,6 +612,10 @@
     /// Revision up to which documents may be older than the era.
     #[prost(uint64, tag = "5")]
     pub base_revision: u64,
+    /// The versions that were in use, also of entries that the sender no longer has. `None` in
+    /// responses of earlier versions.
+    #[prost(message, optional, tag = "6")]
+    pub versions: Option<VersionColumns>,
 }
 
 impl DocumentResponse {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -133,6 +133,38 @@
     }
 }
 
+/// Identifies a stream over all calls that take it up, see
+/// [`CallHead::stream_tag`](crate::dialect::CallHead::stream_tag).
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StreamTag(pub u64);
+
+impl StreamTag {
+    /// Marks the tags of cached parts of prompts, which are recorded like streams.
+    const PART_BIT: u64 = 1 << 63;
+
+    /// Creates the tag of a stream with this hash.
+    pub fn of_stream(hash: u64) -> Self {
+        Self(hash & !Self::PART_BIT)
+    }
+
+    /// Creates the tag under which the version of the upstreams is recorded that have cached a part of a
+    /// prompt. The last part of a prompt belongs to one request, so it tells where that request ran.
+    pub fn of_part(part: PartTag) -> Self {
+        Self(xxh3_64(&part.0.to_le_bytes()) | Self::PART_BIT)
+    }
+
+    /// Whether this is the tag of a cached part.
+    pub fn is_part(self) -> bool {
+        self.0 & Self::PART_BIT != 0
+    }
+}
+
+impl fmt::Display for StreamTag {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 fn check_id(text: &str) -> Result<(), ValueError> {
     let is_allowed =
         |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':');
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -32,6 +32,7 @@
 pub mod slot_waiters;
 pub mod sound_work;
 pub mod stop_admission;
+pub mod stream_versions;
 pub mod suspect_history;
 pub mod suspect_reports;
 pub mod suspect_work;
--- a/src/policy/call_attempts.rs
+++ b/src/policy/call_attempts.rs
@@ -118,6 +118,12 @@
     /// No upstream ran the call, and none will: all have taken as many requests as their limits
     /// allow. The caller may try again after this time.
     Limited(Duration),
+    /// No upstream ran the call, and none will: it takes up a stream, and it is not certain which
+    /// software version began it.
+    UnknownVersion,
+    /// No upstream ran the call, and none will: no upstream of the software version that began the
+    /// stream is left.
+    VersionGone,
     /// No upstream ran the call, and none will: all leave or want no requests now. The caller may
     /// try again after this time.
     Declined(Duration),
--- /dev/null
+++ b/src/policy/stream_versions.rs
@@ -0,0 +1,300 @@
+//! Which software version began each stream.
+//!
+//! The router that passes the first event of a stream on records its version. While a stream may be
+//! taken up at several versions, records go to a few routers that its tag selects, and a router that
+//! lacks a record asks these.
+
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeSet, HashMap};
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::{DataCenterTag, PartTag, StreamTag, VersionTag};
+use crate::mono::MonoTime;
+
+/// Number of records in memory, twice what a router of the largest fleet holds and what one of four
+/// routers holds at a thousand streams per second.
+pub const MAX_RECORDS: usize = 32_768;
+
+/// Number of other routers that hold the record of a stream.
+pub const HOLDERS: usize = 3;
+
+/// Number of other routers that are asked for a record. It is larger than [`HOLDERS`] because some of
+/// these may have ended since.
+pub const ASKED_HOLDERS: usize = 5;
+
+/// Number of records in one message.
+pub const MAX_MESSAGE_RECORDS: usize = 64;
+
+/// Shortest time for which the version of a stream is kept. Callers of a route whose time limit was
+/// reduced may still wait as long as before.
+const MIN_STREAM_LIFE: Duration = Duration::from_secs(12);
+
+/// Time within which a stream ends, over all calls that take it up, as a multiple of the time limit of
+/// its route.
+const STREAM_TIME_LIMITS: f64 = 1.5;
+
+/// Returns the longest time from the first event of a stream to the end of the last call that takes
+/// it up. `time_limit` is that of its route.
+pub fn stream_life(time_limit: Duration) -> Duration {
+    time_limit.mul_f64(STREAM_TIME_LIMITS).max(MIN_STREAM_LIFE)
+}
+
+/// Version in the record of a part that upstreams of several versions have cached.
+const SEVERAL_VERSIONS: VersionTag = VersionTag(0);
+
+/// The version of a stream, as routers tell each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StreamReport {
+    pub stream: StreamTag,
+    pub version: VersionTag,
+    /// When the stream can no longer be taken up, on this router's clock.
+    pub until: MonoTime,
+}
+
+/// A router that may hold records.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RecordHolder {
+    pub address: Ipv4Addr,
+    pub data_center: DataCenterTag,
+    /// Whether the router stops soon, so that its records are lost.
+    pub is_leaving: bool,
+}
+
+/// Returns up to `count` of `routers` in the order in which they hold the record of a stream: by their
+/// hash with the stream, one of each data centre before a second one of any.
+pub fn choose_holders(stream: StreamTag, routers: &[RecordHolder], count: usize) -> Vec<Ipv4Addr> {
+    let mut ranked: Vec<&RecordHolder> = routers.iter().collect();
+    ranked.sort_by_cached_key(|router| {
+        let score = xxh3_64_with_seed(&router.address.octets(), stream.0);
+        (router.is_leaving, score)
+    });
+    let mut seen: HashMap<DataCenterTag, usize> = HashMap::new();
+    let mut placed: Vec<(bool, usize, Ipv4Addr)> = Vec::with_capacity(ranked.len());
+    for router in ranked {
+        let round = seen.entry(router.data_center).or_default();
+        placed.push((router.is_leaving, *round, router.address));
+        *round += 1;
+    }
+    placed.sort_by_key(|&(is_leaving, round, _)| (is_leaving, round));
+    let addresses = placed.into_iter().map(|(_, _, address)| address);
+    addresses.take(count).collect()
+}
+
+/// Progress of the search for a record at other routers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LookupState {
+    /// The record is known.
+    Found(VersionTag),
+    /// Some routers have not answered yet.
+    Open,
+    /// No router has the record.
+    Missing,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct StreamRecord {
+    version: VersionTag,
+    until: MonoTime,
+    /// Whether the record comes from another router or was sent to others.
+    is_spread: bool,
+}
+
+/// The records of streams and the searches in progress.
+#[derive(Clone, Debug, Default)]
+pub struct StreamVersions {
+    /// Invariant: at most [`MAX_RECORDS`].
+    records: HashMap<StreamTag, StreamRecord>,
+    /// The same streams by the ends of their records.
+    ends: BTreeSet<(MonoTime, StreamTag)>,
+    /// Records to send to their holders.
+    unsent: BTreeSet<StreamTag>,
+    /// Streams to ask other routers for.
+    questions: BTreeSet<StreamTag>,
+    /// Searches in progress, with the number of answers that are awaited; `None` before the question
+    /// is sent.
+    lookups: HashMap<StreamTag, Option<usize>>,
+    /// Whether new records are sent to their holders.
+    is_mixed: bool,
+}
+
+impl StreamVersions {
+    /// Records the version whose first event goes to the caller. Returns whether other routers must
+    /// hear of it.
+    pub fn record(&mut self, stream: StreamTag, version: VersionTag, until: MonoTime) -> bool {
+        self.insert(
+            stream,
+            StreamRecord {
+                version,
+                until,
+                is_spread: false,
+            },
+        );
+        if self.is_mixed {
+            self.unsent.insert(stream);
+        }
+        self.is_mixed
+    }
+
+    /// Records that an upstream of a version has cached a part of a prompt, to be sent to the holders.
+    pub fn record_part(&mut self, part: PartTag, version: VersionTag, until: MonoTime) {
+        let stream = StreamTag::of_part(part);
+        self.merge(StreamReport {
+            stream,
+            version,
+            until,
+        });
+        self.unsent.insert(stream);
+    }
+
+    /// Merges the record of another router, unless a later one is known.
+    pub fn merge(&mut self, report: StreamReport) {
+        let known = self.records.get(&report.stream);
+        if known.is_some_and(|known| known.until >= report.until && !report.stream.is_part()) {
+            return;
+        }
+        let differs = known.is_some_and(|known| known.version != report.version);
+        let record = StreamRecord {
+            version: if differs && report.stream.is_part() {
+                SEVERAL_VERSIONS
+            } else {
+                report.version
+            },
+            until: known.map_or(report.until, |known| known.until.max(report.until)),
+            is_spread: true,
+        };
+        self.insert(report.stream, record);
+    }
+
+    fn insert(&mut self, stream: StreamTag, record: StreamRecord) {
+        self.remove(stream);
+        if self.records.len() >= MAX_RECORDS
+            && let Some(&(_, oldest)) = self.ends.first()
+        {
+            self.remove(oldest);
+        }
+        self.ends.insert((record.until, stream));
+        self.records.insert(stream, record);
+    }
+
+    fn remove(&mut self, stream: StreamTag) {
+        if let Some(record) = self.records.remove(&stream) {
+            self.ends.remove(&(record.until, stream));
+            self.unsent.remove(&stream);
+        }
+    }
+
+    /// The version of a stream, if it is known.
+    pub fn version(&self, stream: StreamTag, now: MonoTime) -> Option<VersionTag> {
+        let record = self.records.get(&stream)?;
+        let is_certain = record.until > now && record.version != SEVERAL_VERSIONS;
+        is_certain.then_some(record.version)
+    }
+
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Sets whether some service has several versions. From then on, the records of all streams go to
+    /// their holders.
+    pub fn set_mixed(&mut self, is_mixed: bool) {
+        if is_mixed && !self.is_mixed {
+            self.spread_all();
+        }
+        self.is_mixed = is_mixed;
+    }
+
+    /// Sends the records that no other router has to their holders, before this router stops.
+    pub fn spread_all(&mut self) {
+        let own = self.records.iter().filter(|(_, record)| !record.is_spread);
+        self.unsent.extend(own.map(|(&stream, _)| stream));
+    }
+
+    pub fn has_unsent(&self) -> bool {
+        !self.unsent.is_empty()
+    }
+
+    /// Returns the records to send to their holders.
+    pub fn take_unsent(&mut self) -> Vec<StreamReport> {
+        let unsent = std::mem::take(&mut self.unsent).into_iter();
+        unsent
+            .filter_map(|stream| {
+                let record = self.records.get_mut(&stream)?;
+                record.is_spread = true;
+                Some(StreamReport {
+                    stream,
+                    version: record.version,
+                    until: record.until,
+                })
+            })
+            .collect()
+    }
+
+    /// Returns the record of a stream for a router that asks for it.
+    pub fn report(&self, stream: StreamTag, now: MonoTime) -> Option<StreamReport> {
+        let record = self.records.get(&stream)?;
+        (record.until > now).then_some(StreamReport {
+            stream,
+            version: record.version,
+            until: record.until,
+        })
+    }
+
+    /// Starts a search, unless one is in progress.
+    pub fn begin_lookup(&mut self, stream: StreamTag) {
+        if let Entry::Vacant(lookup) = self.lookups.entry(stream) {
+            lookup.insert(None);
+            self.questions.insert(stream);
+        }
+    }
+
+    /// Returns the streams to ask other routers for.
+    pub fn take_questions(&mut self) -> BTreeSet<StreamTag> {
+        std::mem::take(&mut self.questions)
+    }
+
+    /// Records that `count` routers were asked.
+    pub fn set_asked(&mut self, stream: StreamTag, count: usize) {
+        if let Some(awaited) = self.lookups.get_mut(&stream) {
+            *awaited = Some(count);
+        }
+    }
+
+    /// Records that a router has no record of a stream.
+    pub fn record_missing(&mut self, stream: StreamTag) {
+        if let Some(Some(awaited)) = self.lookups.get_mut(&stream) {
+            *awaited = awaited.saturating_sub(1);
+        }
+    }
+
+    /// Returns the progress of a search.
+    pub fn lookup_state(&self, stream: StreamTag, now: MonoTime) -> LookupState {
+        match (self.version(stream, now), self.lookups.get(&stream)) {
+            (Some(version), _) => LookupState::Found(version),
+            (None, Some(None)) => LookupState::Open,
+            (None, Some(Some(awaited))) if *awaited > 0 => LookupState::Open,
+            (None, _) => LookupState::Missing,
+        }
+    }
+
+    /// Ends a search.
+    pub fn end_lookup(&mut self, stream: StreamTag) {
+        self.lookups.remove(&stream);
+        self.questions.remove(&stream);
+    }
+
+    /// Forgets the streams that can no longer be taken up.
+    pub fn remove_expired(&mut self, now: MonoTime) {
+        while let Some(&(until, stream)) = self.ends.first()
+            && until <= now
+        {
+            self.remove(stream);
+        }
+    }
+}
--- a/src/policy/upstream_choice.rs
+++ b/src/policy/upstream_choice.rs
@@ -59,6 +59,27 @@
     pub open_calls: f64,
 }
 
+/// Leaves only some candidates eligible, for a call that can't go to others. Among them, those above
+/// the load bound of the whole service are not eligible either, since no other can take their calls.
+pub fn restrict_candidates<F>(options: &mut [UpstreamCandidate], is_other: F, bound: AffinityBound)
+where
+    F: Fn(usize) -> bool,
+{
+    let usable = options
+        .iter()
+        .filter(|option| option.eligibility != Eligibility::Excluded);
+    let (slots, load) = usable.fold((0.0, 0.0), |(slots, load), option| {
+        (slots + f64::from(option.slots), load + option.load)
+    });
+    let mean = load / f64::max(slots, 1.0);
+    for (index, option) in options.iter_mut().enumerate() {
+        let max_load = bound.multiple * mean * f64::from(option.slots) + bound.slack;
+        if is_other(index) || option.load > max_load {
+            option.eligibility = Eligibility::Excluded;
+        }
+    }
+}
+
 /// Returns the index of the chosen upstream in `options`, or `None` if none is eligible.
 ///
 /// `affinity` is the largest shared part of the call's prompt. `draw` is a uniformly random `u64`
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -54,6 +54,12 @@
     pub upstreams_leaving: IntGauge,
     /// Number of upstreams that have asked this router to wait.
     pub upstreams_waiting: IntGauge,
+    /// Number of streams whose versions are known.
+    pub stream_records: IntGauge,
+    /// Whether streams may be taken up at several software versions.
+    pub versions_mixed: IntGauge,
+    /// Number of calls that took a stream up, by how its version was found.
+    pub take_ups: IntCounterVec,
     /// Number of routers that are up.
     pub routers: IntGauge,
     /// Number of prompt parts and calls that are held back.
@@ -83,22 +89,7 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
-        let opts = |name: &str, help: &str| {
-            HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec())
-        };
-        let call_seconds = HistogramVec::new(
-            opts(
-                "call_seconds",
-                "Seconds from the start of a call to the end of its response",
-            ),
-            &["kind"],
-        )?;
-        registry.register(Box::new(call_seconds.clone()))?;
-        let first_event_seconds = Histogram::with_opts(opts(
-            "first_event_seconds",
-            "Seconds from the start of a call to the first event of its stream",
-        ))?;
-        registry.register(Box::new(first_event_seconds.clone()))?;
+        let (call_seconds, first_event_seconds) = register_latencies(&registry)?;
         Ok(Self {
             calls: counters("calls_total", "Finished calls", &["kind", "outcome"])?,
             call_seconds,
@@ -153,6 +144,16 @@
                 "upstreams_waiting",
                 "Upstreams that have asked this router to wait",
             )?,
+            stream_records: gauge("stream_records", "Streams whose versions are known")?,
+            versions_mixed: gauge(
+                "versions_mixed",
+                "Whether streams may be taken up at several software versions",
+            )?,
+            take_ups: counters(
+                "take_ups_total",
+                "Calls that took a stream up, by how its version was found",
+                &["version"],
+            )?,
             routers: gauge("routers", "Routers that are up")?,
             suspects_held: gauge("suspects_held", "Prompt parts and calls that are held back")?,
             calls_open: gauge("calls_open", "Calls in progress")?,
@@ -169,6 +170,26 @@
     }
 }
 
+/// Registers the histograms of the times of calls and of first events.
+fn register_latencies(registry: &Registry) -> Result<(HistogramVec, Histogram), prometheus::Error> {
+    let opts =
+        |name: &str, help: &str| HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
+    let call_seconds = HistogramVec::new(
+        opts(
+            "call_seconds",
+            "Seconds from the start of a call to the end of its response",
+        ),
+        &["kind"],
+    )?;
+    registry.register(Box::new(call_seconds.clone()))?;
+    let first_event_seconds = Histogram::with_opts(opts(
+        "first_event_seconds",
+        "Seconds from the start of a call to the first event of its stream",
+    ))?;
+    registry.register(Box::new(first_event_seconds.clone()))?;
+    Ok((call_seconds, first_event_seconds))
+}
+
 /// Sets a gauge to `count`, or to `i64::MAX` if it does not fit.
 pub fn set_count<N: TryInto<i64>>(gauge: &IntGauge, count: N) {
     gauge.set(count.try_into().unwrap_or(i64::MAX));
--- a/src/route/route_table.rs
+++ b/src/route/route_table.rs
@@ -1,13 +1,14 @@
 //! The routes, services and API keys of one configuration.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 
 use crate::ids::{AccountId, RouteKey, ServiceId};
-use crate::route::{EdgeLimits, PriorityRank, RouteProblem, RouteRule, TableFault};
+use crate::route::{CallKind, EdgeLimits, PriorityRank, RouteProblem, RouteRule, TableFault};
 
 /// Version number of a configuration; a larger one is newer.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -94,6 +95,23 @@
         self.grants.is_some()
     }
 
+    /// Returns the services of the routes whose streams may be taken up.
+    pub fn stream_services(&self) -> HashSet<ServiceId> {
+        let splits = self.resumable_routes().flat_map(|route| &route.splits);
+        splits.map(|split| split.service.clone()).collect()
+    }
+
+    fn resumable_routes(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        routes.filter(|route| route.kind == CallKind::Stream { resumable: true })
+    }
+
+    /// Returns the longest time limit of the routes whose streams may be taken up.
+    pub fn stream_time_limit(&self) -> Duration {
+        let limits = self.resumable_routes().map(|route| route.time_limit);
+        limits.max().unwrap_or_default()
+    }
+
     /// Returns the permissions of `key`, or `None` if the key is unknown.
     pub fn grant(&self, key: &[u8]) -> Option<&Arc<AccountGrant>> {
         self.grants.as_ref()?.get(key)
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -248,6 +248,9 @@
             rates: None,
             store_era: 1 << 20,
             leaving: None,
+            covered_ms: Some(99_999),
+            uptime_ms: Some(99_999),
+            ..HeartbeatFrame::default()
         };
         let without_parts = {
             let mut frame = frame.clone();
--- a/tests/odd_frames.rs
+++ b/tests/odd_frames.rs
@@ -13,15 +13,17 @@
 use hawthornrouter::fleet::store_role::StoreRole;
 use hawthornrouter::fleet::store_stamp::StoreStamp;
 use hawthornrouter::fleet::store_view::{StoreChange, StoreView};
+use hawthornrouter::fleet::version_history::{VersionHistory, history_time};
 use hawthornrouter::gossip::frames::{
     DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame, LeavingColumns, LoadColumns,
-    MemberColumns, RateColumns, SuspectColumns,
+    MemberColumns, RateColumns, StreamColumns, SuspectColumns, VersionColumns,
 };
-use hawthornrouter::ids::{DataCenterTag, IncarnationId};
+use hawthornrouter::ids::{DataCenterTag, IncarnationId, ServiceKey, StreamTag};
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::latest_loads::{LatestLoads, UpstreamLoad, UpstreamTag};
 use hawthornrouter::policy::leaving_upstreams::LeavingUpstreams;
 use hawthornrouter::policy::rate_limits::{FleetPlace, RateLimits};
+use hawthornrouter::policy::stream_versions::StreamVersions;
 use hawthornrouter::policy::suspect_work::{SuspectWork, suspect_time};
 use hawthornrouter::policy::upstream_stats::UpstreamStats;
 use hawthornrouter::route::ConfigVersion;
@@ -98,14 +100,32 @@
     );
     let rates = (columns_u32(), columns_u32(), columns_u32());
     let leaving = (columns_u64(), columns_u32());
+    let streams = (
+        columns_u64(),
+        columns_u64(),
+        columns_u32(),
+        columns_u64(),
+        columns_u64(),
+    );
+    let versions = (
+        columns_u64(),
+        columns_u64(),
+        columns_u32(),
+        prop::option::of(extreme_u32()),
+        extreme_u32(),
+    );
     let numbers = (
         extreme_u64(),
         extreme_u64(),
         prop::option::of(extreme_u64()),
         extreme_u64(),
+        prop::option::of(extreme_u32()),
     );
-    (members, loads, suspects, rates, leaving, numbers).prop_map(
-        |(members, loads, suspects, rates, leaving, numbers)| HeartbeatFrame {
+    let parts = (
+        members, loads, suspects, rates, leaving, streams, versions, numbers,
+    );
+    parts.prop_map(
+        |(members, loads, suspects, rates, leaving, streams, versions, numbers)| HeartbeatFrame {
             members: Some(MemberColumns {
                 addresses: members.0,
                 incarnations: members.1,
@@ -140,6 +160,22 @@
                 starts: leaving.0,
                 ages: leaving.1,
             }),
+            streams: Some(StreamColumns {
+                streams: streams.0,
+                versions: streams.1,
+                left_ms: streams.2,
+                asked: streams.3,
+                missing: streams.4,
+            }),
+            covered_ms: numbers.4,
+            uptime_ms: numbers.4,
+            versions: Some(VersionColumns {
+                services: versions.0,
+                versions: versions.1,
+                ages_ms: versions.2,
+                covered_ms: versions.3,
+                known_ms: versions.4,
+            }),
         },
     )
 }
@@ -151,6 +187,8 @@
     limits: RateLimits,
     suspects: SuspectWork,
     leaving: LeavingUpstreams,
+    streams: StreamVersions,
+    history: VersionHistory,
     role: StoreRole,
     plan: FetchPlan,
 }
@@ -163,6 +201,8 @@
             limits: RateLimits::default(),
             suspects: SuspectWork::default(),
             leaving: LeavingUpstreams::default(),
+            streams: StreamVersions::default(),
+            history: VersionHistory::default(),
             role: StoreRole::new(Duration::from_secs(2)),
             plan: FetchPlan::default(),
         }
@@ -191,6 +231,18 @@
         for report in frame.leaving.iter().flat_map(|marks| marks.reports(now)) {
             self.leaving.merge(report, sender.address, now);
         }
+        for report in frame
+            .streams
+            .iter()
+            .flat_map(|streams| streams.reports(now))
+        {
+            self.streams.merge(report);
+        }
+        if let Some(columns) = &frame.versions {
+            self.history.merge(&columns.report(now));
+            self.history
+                .merge_with_changes(&columns.report(now), true, now);
+        }
         if let Some(report) = frame.store_report() {
             self.role
                 .record_report(report, StoreStamp::new(u64::MAX, u64::MAX), now);
@@ -242,6 +294,13 @@
             now,
         );
         frame.set_leaving(&self.leaving.reports(3, rng), now);
+        self.streams.remove_expired(now);
+        self.history.remove_expired(history_time(now));
+        self.history.sole_version(ServiceKey(0), history_time(now));
+        let report = self.streams.report(StreamTag(u64::MAX), now);
+        frame.streams = Some(StreamColumns::new(&Vec::from_iter(report), now));
+        let report = self.history.report(history_time(now));
+        frame.versions = Some(VersionColumns::new(&report, now));
         frame
     }
 }
@@ -327,6 +386,7 @@
             full,
             store_era,
             base_revision,
+            versions: None,
         };
         let response = DocumentResponse::decode(&response.encode_to_vec()[..]).expect("a frame");
         let (stamp, base) = (response.store_stamp(), response.base());
--- a/tests/store_codec/mod.rs
+++ b/tests/store_codec/mod.rs
@@ -1,6 +1,6 @@
 //! Documents of a store in tests: a configuration is the text of its version, and a key `up/ID` is
 //! the entry of upstream `ID`, which drains if its text is `draining`. A number after a `@` is the
-//! start of the upstream.
+//! start of the upstream, and a text after a `#` its version, which is `v1` otherwise.
 
 use std::time::Duration;
 
@@ -36,13 +36,14 @@
 
 fn entry(id: &str, value: &Bytes) -> anyhow::Result<UpstreamEntry> {
     let text = std::str::from_utf8(value)?;
+    let (text, version) = text.split_once('#').unwrap_or((text, "v1"));
     let (state, start) = text.split_once('@').unwrap_or((text, ""));
     Ok(UpstreamEntry {
         id: id.parse()?,
         service: "app".parse()?,
         address: "127.0.0.1:1".parse()?,
         data_center: "a".parse()?,
-        version: "v1".parse()?,
+        version: version.parse()?,
         slots: 1,
         state: match state {
             "draining" => ServingState::Draining,
