Send what a router says of its start in whole seconds

Change: both fields count whole seconds, two bytes each. Measured: member_table, odd_frames and stream_versions pass; clippy is clean.

--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -45,8 +45,8 @@
 /// a longer time tell it.
 const COVERAGE_SPAN: Duration = Duration::from_secs(100);
 
-/// Difference in the times that two routers know of, in milliseconds, above which one tells the other.
-const COVERAGE_GAIN_MS: u32 = 1000;
+/// Difference in the times that two routers know of, in seconds, above which one tells the other.
+const COVERAGE_GAIN_S: u32 = 1;
 
 /// State that the control thread shares with the traffic thread.
 pub struct ControlParts {
@@ -95,10 +95,9 @@
     pub stopped: bool,
 }
 
-/// The time since the start of this process, as long as it matters to peers.
-fn uptime_ms(now: MonoTime) -> Option<u32> {
-    let uptime = now.since(MonoTime::default());
-    (uptime < COVERAGE_SPAN).then_some(uptime.as_millis() as u32)
+/// A time in whole seconds, or `None` if it is at least [`COVERAGE_SPAN`].
+fn short_span(span: Duration) -> Option<u32> {
+    (span < COVERAGE_SPAN).then_some(span.as_secs() as u32)
 }
 
 impl<C: DocumentCodec> ControlState<C> {
@@ -164,13 +163,11 @@
         VersionColumns::new(&self.store_view.history().report(known_until), now)
     }
 
-    /// For how long this router knows of all software versions in use; `None` if that is longer than
-    /// they are remembered.
-    fn covered_ms(&self, now: MonoTime) -> Option<u32> {
+    /// For how many seconds this router knows of all software versions in use; `None` if these are as
+    /// many as it wants to know of.
+    fn covered_s(&self, now: MonoTime) -> Option<u32> {
         let since = self.store_view.history().covered_since();
-        let covered = since.map_or(Duration::ZERO, |since| history_time(now).since(since));
-        let covered_ms = u32::try_from(covered.as_millis()).unwrap_or(u32::MAX);
-        (covered < COVERAGE_SPAN).then_some(covered_ms)
+        short_span(since.map_or(Duration::ZERO, |since| history_time(now).since(since)))
     }
 
     /// A heartbeat with up to `marks` upstreams that leave.
@@ -206,8 +203,8 @@
             store_revision: stamp.revision.0,
             store_age_ms: age.map(|age| age.as_millis() as u64),
             store_era: stamp.era.0,
-            covered_ms: self.covered_ms(now),
-            uptime_ms: uptime_ms(now),
+            covered_s: self.covered_s(now),
+            uptime_s: short_span(now.since(MonoTime::default())),
             ..HeartbeatFrame::default()
         }
     }
@@ -307,10 +304,10 @@
         if let Some(columns) = &frame.versions {
             self.store_view.merge_history(&columns.report(now));
         }
-        self.record_peer_uptime(frame.uptime_ms, now);
-        let lacks_history = frame.covered_ms.is_some_and(|covered| {
-            let own = self.covered_ms(now).unwrap_or(u32::MAX);
-            own > covered.saturating_add(COVERAGE_GAIN_MS)
+        self.record_peer_uptime(frame.uptime_s, now);
+        let lacks_history = frame.covered_s.is_some_and(|covered| {
+            let own = self.covered_s(now).unwrap_or(u32::MAX);
+            own > covered.saturating_add(COVERAGE_GAIN_S)
         });
         if let Some(report) = frame.store_report() {
             let stamp = self.store_view.stamp();
--- a/src/forward_control/control_state/past_versions.rs
+++ b/src/forward_control/control_state/past_versions.rs
@@ -112,9 +112,9 @@
     }
 
     /// Records for how long a peer has held records.
-    pub(super) fn record_peer_uptime(&mut self, uptime_ms: Option<u32>, now: MonoTime) {
+    pub(super) fn record_peer_uptime(&mut self, uptime_s: Option<u32>, now: MonoTime) {
         let life = history_time(now).since(self.earliest_start(now));
-        let uptime = uptime_ms.map(|uptime_ms| Duration::from_millis(uptime_ms.into()));
+        let uptime = uptime_s.map(|uptime_s| Duration::from_secs(uptime_s.into()));
         self.past_search.has_old_peer |= uptime.is_none_or(|uptime| uptime >= life);
     }
 
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -487,13 +487,13 @@
     /// Versions of streams. A message about these has no other fields.
     #[prost(message, optional, tag = "10")]
     pub streams: Option<StreamColumns>,
-    /// Milliseconds for which the sender knows of all software versions in use; `None` in frames of
-    /// earlier versions.
+    /// Whole seconds for which the sender knows of all software versions in use; `None` if that is long,
+    /// or in frames of earlier versions.
     #[prost(uint32, optional, tag = "11")]
-    pub covered_ms: Option<u32>,
-    /// Milliseconds since the sender's process started, in the first minutes.
+    pub covered_s: Option<u32>,
+    /// Whole seconds since the sender's process started, in the first minutes.
     #[prost(uint32, optional, tag = "13")]
-    pub uptime_ms: Option<u32>,
+    pub uptime_s: Option<u32>,
     /// The versions that were in use, for a router that knows of them for a shorter time.
     #[prost(message, optional, tag = "12")]
     pub versions: Option<VersionColumns>,
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -248,8 +248,8 @@
             rates: None,
             store_era: 1 << 20,
             leaving: None,
-            covered_ms: Some(99_999),
-            uptime_ms: Some(99_999),
+            covered_s: Some(99),
+            uptime_s: Some(99),
             ..HeartbeatFrame::default()
         };
         let without_parts = {
--- a/tests/odd_frames.rs
+++ b/tests/odd_frames.rs
@@ -167,8 +167,8 @@
                 asked: streams.3,
                 missing: streams.4,
             }),
-            covered_ms: numbers.4,
-            uptime_ms: numbers.4,
+            covered_s: numbers.4,
+            uptime_s: numbers.4,
             versions: Some(VersionColumns {
                 services: versions.0,
                 versions: versions.1,
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -25,7 +25,7 @@
 use store_codec::TextCodec;
 
 const STEP: Duration = Duration::from_millis(10);
-const LENGTH: Duration = Duration::from_secs(60);
+const LENGTH: Duration = Duration::from_mins(1);
 const TIME_LIMIT: Duration = Duration::from_secs(12);
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
 /// Time after which a router that is gone no longer counts as live.
@@ -70,6 +70,10 @@
     }
 }
 
+fn index_of(address: Ipv4Addr) -> usize {
+    (address.to_bits() - 0x0a00_0001) as usize
+}
+
 struct Router {
     place: RecordHolder,
     view: StoreView<TextCodec>,
@@ -190,10 +194,6 @@
             .collect()
     }
 
-    fn index(&self, address: Ipv4Addr) -> usize {
-        (address.to_bits() - 0x0a00_0001) as usize
-    }
-
     fn reaches(&self, from: usize, to: usize) -> bool {
         self.routers[to].runs() && !self.routers[from].is_cut && !self.routers[to].is_cut
     }
@@ -218,7 +218,7 @@
         let sent_at = self.routers[index].time(self.now);
         for record in records {
             for address in choose_holders(record.stream, &holders, HOLDERS) {
-                let to = self.index(address);
+                let to = index_of(address);
                 if !self.reaches(index, to) {
                     continue;
                 }
@@ -262,7 +262,7 @@
                 router.view.merge_changes(new, self.store.stamp(), time);
             }
         }
-        let tick = now.0.as_millis() % 250 == 0;
+        let tick = now.0.as_millis().is_multiple_of(250);
         if tick {
             self.tell_history(index);
         }
@@ -278,7 +278,7 @@
         router.streams.remove_expired(time);
         router.streams.set_mixed(is_mixed);
         // Records are sent within two steps.
-        if now.0.as_millis() % 20 == 0 {
+        if now.0.as_millis().is_multiple_of(20) {
             self.spread(index);
         }
     }
@@ -351,7 +351,7 @@
             return Some(version);
         }
         let asked = choose_holders(stream.tag, &self.live(index), ASKED_HOLDERS);
-        let mut reached = asked.into_iter().map(|address| self.index(address));
+        let mut reached = asked.into_iter().map(index_of);
         reached.find_map(|peer| {
             let peer = Some(peer).filter(|&peer| self.reaches(index, peer))?;
             let peer = &self.routers[peer];
