Pass calls on to other routers while no upstream is in reach

What callers saw: at a router cut off from all upstreams, 503 for nine of ten calls while the other routers served. Cause: a router takes its own view of the upstreams for that of the fleet, and has no second way to reach them. The class: a process takes its own view for the state of the fleet. Change: failed connections to a third of the upstreams with none opened in between show the cut; calls then go to another router at its address for callers, with the caller's own key, one hop, until a trial connection succeeds.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -55,6 +55,8 @@
     pub resume_after: Option<u64>,
     /// Id of the request that brought the first event of the interrupted response.
     pub resumes: Option<Bytes>,
+    /// Whether another router passed the call on.
+    pub is_relayed: bool,
     /// Headers to forward to the upstream, without connection headers and those that only the
     /// router may set.
     pub headers: HeaderMap,
@@ -234,6 +236,10 @@
         upstream_head: &UpstreamCallHead<'_>,
     ) -> HeaderMap;
 
+    /// Builds the headers of a call that is passed on to another router, whose caller waits for
+    /// `time_left`.
+    fn relayed_call_headers(&self, call: &CallHead, time_left: Duration) -> HeaderMap;
+
     /// Parses the head of an upstream's response.
     fn read_response_head(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -5,6 +5,7 @@
 
 mod attempt_record;
 pub mod body_budget;
+mod call_relay;
 pub mod caller_connections;
 mod choice_record;
 pub mod connection_headers;
--- /dev/null
+++ b/src/forward/call_relay.rs
@@ -0,0 +1,186 @@
+//! Passes calls on to other routers while this one reaches no upstream.
+//!
+//! The other router handles the call like any other of its callers: it checks the key, chooses the
+//! upstream and counts attempts, limits and retries. A mark in the request keeps it from passing the
+//! call on again; a caller that sends the mark only forgoes this.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::dialect::EdgeDialect;
+use crate::forward::http_connection::HttpConnection;
+use crate::forward::traffic_state::TrafficState;
+use crate::forward::upstream_response::{CallPlan, FullResponse};
+use crate::policy::call_attempts::{AttemptFault, CallFailure, RunVerdict};
+
+/// Timeout of a connection to another router.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Number of routers that one call is offered to.
+const MAX_OFFERS: usize = 3;
+
+/// Statuses by which a router says that it did not run a call and will not.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// The response of another router.
+pub enum RelayedResponse {
+    /// A response with its complete body.
+    Full(FullResponse),
+    /// An event stream in progress.
+    Stream(Box<RelayedStream>),
+}
+
+/// An event stream from another router.
+pub struct RelayedStream {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    body: Incoming,
+    connection: HttpConnection,
+}
+
+impl RelayedStream {
+    /// Returns the next bytes, or `None` at the regular end of the stream.
+    pub async fn next_bytes(&mut self) -> Result<Option<Bytes>, CallFailure> {
+        loop {
+            match self.body.frame().await {
+                None => return Ok(None),
+                Some(Err(_)) => return Err(CallFailure::Unknown),
+                Some(Ok(frame)) => {
+                    self.connection.record_body();
+                    // Trailers are not part of the body.
+                    if let Ok(bytes) = frame.into_data() {
+                        return Ok(Some(bytes));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A call that is offered to other routers.
+pub struct CallRelay<'a, D: EdgeDialect> {
+    state: &'a Rc<TrafficState<D>>,
+    plan: &'a CallPlan,
+}
+
+impl<'a, D: EdgeDialect> CallRelay<'a, D> {
+    /// Returns `None` if the call must not be passed on, or need not.
+    pub fn for_call(state: &'a Rc<TrafficState<D>>, plan: &'a CallPlan) -> Option<Self> {
+        (!plan.head.is_relayed && state.is_stranded()).then_some(Self { state, plan })
+    }
+
+    /// Offers the call to other routers until one takes it. Fails with [`CallFailure::NotRun`] if none
+    /// does.
+    pub async fn run(&self) -> Result<RelayedResponse, CallFailure> {
+        let Some(_slot) = self.state.open_relay() else {
+            return Err(CallFailure::NotRun);
+        };
+        let mut refusal = None;
+        for peer in self.state.relay_peers().into_iter().take(MAX_OFFERS) {
+            let left = self.plan.deadline.since(self.state.now());
+            match timeout(left, self.offer(peer)).await {
+                Err(_) => return Err(CallFailure::Late),
+                Ok(Ok(RelayedResponse::Full(response))) if is_not_run(&response) => {
+                    self.log(peer, "refused", response.status);
+                    refusal = Some(response);
+                }
+                Ok(Ok(response)) => {
+                    let status = match &response {
+                        RelayedResponse::Full(response) => response.status,
+                        RelayedResponse::Stream(stream) => stream.status,
+                    };
+                    self.log(peer, "taken", status);
+                    return Ok(response);
+                }
+                Ok(Err(fault)) => {
+                    self.log(peer, fault.label(), StatusCode::BAD_GATEWAY);
+                    self.state.avoid_relay_peer(peer);
+                    if fault.verdict() != RunVerdict::NotRun {
+                        return Err(CallFailure::Unknown);
+                    }
+                }
+            }
+        }
+        refusal.map_or(Err(CallFailure::NotRun), |response| {
+            Ok(RelayedResponse::Full(response))
+        })
+    }
+
+    async fn offer(&self, peer: Ipv4Addr) -> Result<RelayedResponse, AttemptFault> {
+        let port = self.state.board.settings.load().front.port();
+        let address = SocketAddrV4::new(peer, port);
+        let mut connection = HttpConnection::open(address.into(), CONNECT_TIMEOUT)
+            .await
+            .map_err(|_| AttemptFault::Unreachable)?;
+        let request = self.build_request()?;
+        let response = connection.send(request, self.plan.body.len()).await?;
+        let (parts, body) = response.into_parts();
+        let mut stream = RelayedStream {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            connection,
+        };
+        if stream.status.is_success() && self.plan.route.kind.streams() {
+            return Ok(RelayedResponse::Stream(Box::new(stream)));
+        }
+        let mut body = BytesMut::new();
+        let mut reservation = self.state.body_budget.open();
+        loop {
+            match stream.next_bytes().await {
+                Ok(Some(bytes)) if reservation.grow_to(body.len() + bytes.len()) => {
+                    body.extend_from_slice(&bytes);
+                }
+                Ok(None) => break,
+                Ok(Some(_)) | Err(_) => return Err(AttemptFault::Broken),
+            }
+        }
+        Ok(RelayedResponse::Full(FullResponse {
+            status: stream.status,
+            headers: stream.headers,
+            body: body.freeze(),
+        }))
+    }
+
+    fn build_request(&self) -> Result<Request<Full<Bytes>>, AttemptFault> {
+        let head = &self.plan.head;
+        let request = Request::builder()
+            .method(head.method.clone())
+            .uri(head.target.as_str())
+            .body(Full::new(self.plan.body.clone()));
+        let mut request = request.map_err(|_| AttemptFault::Unsent)?;
+        let left = self.plan.deadline.since(self.state.now());
+        *request.headers_mut() = self.state.dialect.relayed_call_headers(head, left);
+        Ok(request)
+    }
+
+    fn log(&self, peer: Ipv4Addr, outcome: &str, status: StatusCode) {
+        let telemetry = &self.state.telemetry;
+        telemetry.relayed.with_label_values(&[outcome]).inc();
+        if outcome == "taken" && !self.state.may_log_call() {
+            return;
+        }
+        spdlog::info!("call-relayed", kv: {
+            id: = String::from_utf8_lossy(&self.plan.head.request_id), peer: = peer,
+            outcome: = outcome, status: = status.as_u16(),
+            ms: = self.state.now().since(self.plan.began).as_millis()
+        });
+    }
+}
+
+/// Whether a router, and not an upstream, says that the call did not run.
+fn is_not_run(response: &FullResponse) -> bool {
+    NOT_RUN_STATUSES.contains(&response.status)
+}
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -76,7 +76,7 @@
 
 impl<D: EdgeDialect> FrontCall<D> {
     /// Creates a call without attempts and counts it in the retry budget of its service.
-    pub fn new(state: Rc<TrafficState<D>>, plan: CallPlan) -> Self {
+    pub fn new(state: Rc<TrafficState<D>>, plan: Rc<CallPlan>) -> Self {
         let service = plan.route.pick_service(state.draw()).clone();
         state.count_call(&service);
         let prompt = plan
@@ -99,7 +99,7 @@
             progress: RelayProgress::new(plan.head.resume_after),
             service,
             state,
-            plan: Rc::new(plan),
+            plan,
             excluded: CallExclusions::default(),
             suspect: Vec::new(),
             unheard: Vec::new(),
@@ -122,6 +122,13 @@
             if let Some(failure) = self.find_hold() {
                 return Err(failure);
             }
+            // Another router may reach an upstream.
+            if self.attempts.verdict() == RunVerdict::NotRun
+                && !self.progress.has_begun()
+                && self.state.is_stranded()
+            {
+                return Err(CallFailure::NotRun);
+            }
             let Some(guard) = self.choose_upstream() else {
                 let failure = self.declined(self.attempts.exhausted(self.in_time()));
                 let limited = self.state.limit_wait(&self.service);
--- a/src/forward/front_call/upstream_attempt.rs
+++ b/src/forward/front_call/upstream_attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a call at one upstream.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -254,7 +255,12 @@
         let timeout = CONNECT_TIMEOUT.min(self.plan.deadline.since(now));
         HttpConnection::open(entry.address, timeout)
             .await
+            .inspect(|_| self.state.record_reached())
             .map_err(|error| {
+                // A short wait shows nothing.
+                if timeout == CONNECT_TIMEOUT || error.kind() != ErrorKind::TimedOut {
+                    self.state.record_unreached(self.guard.key);
+                }
                 let id = String::from_utf8_lossy(&self.plan.head.request_id);
                 spdlog::info!("connect-failed", kv: {
                     id: = id, upstream: = entry.id, peer: = entry.address, reason: = error
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::dialect::{CallHead, EdgeDialect};
+use crate::forward::call_relay::{CallRelay, RelayedResponse, RelayedStream};
 use crate::forward::caller_connections::CallerBusyGuard;
 use crate::forward::connection_headers::{connection_options, is_hop_by_hop};
 use crate::forward::framing_limit::await_overlong_framing;
@@ -369,7 +370,14 @@
     open: OpenCallGuard<D>,
 ) -> Result<FrontResponse, LocalResponse> {
     let timer = CallTimer::start(Rc::clone(state), &plan);
-    let mut call = FrontCall::new(Rc::clone(state), plan);
+    let plan = Rc::new(plan);
+    if CallRelay::for_call(state, &plan).is_some() {
+        let kind = plan.route.kind.label();
+        let calls = &state.telemetry.calls;
+        calls.with_label_values(&[kind, "relayed"]).inc();
+        return serve_relayed(state, &plan, caller, open).await;
+    }
+    let mut call = FrontCall::new(Rc::clone(state), Rc::clone(&plan));
     let forwarded = tokio::select! {
         biased;
         forwarded = forward_call(&mut call, caller.has_chunks) => forwarded,
@@ -389,6 +397,11 @@
         Ok(UpstreamResponse::Stream(stream)) => {
             Ok(stream_response(call, *stream, caller.io, open, timer))
         }
+        Err(CallFailure::NotRun) if CallRelay::for_call(state, &plan).is_some() => {
+            call.finish("relayed", 0);
+            drop(call);
+            serve_relayed(state, &plan, caller, open).await
+        }
         Err(failure) => {
             if failure == CallFailure::Late {
                 timer.record();
@@ -400,6 +413,79 @@
     }
 }
 
+/// Passes a call on to another router, since this one reaches no upstream.
+async fn serve_relayed<D: EdgeDialect>(
+    state: &Rc<TrafficState<D>>,
+    plan: &Rc<CallPlan>,
+    caller: CallerConnection,
+    open: OpenCallGuard<D>,
+) -> Result<FrontResponse, LocalResponse> {
+    let relay = CallRelay::for_call(state, plan).ok_or(LocalResponse::from(CallFailure::NotRun))?;
+    let relayed = tokio::select! {
+        biased;
+        relayed = relay.run() => relayed?,
+        () = state.board.await_calls_end() => {
+            let reason = "router stopped before the upstream answered";
+            return Err(LocalResponse::new(StatusCode::BAD_GATEWAY, reason));
+        }
+    };
+    match relayed {
+        RelayedResponse::Full(response) => Ok(full_response(response)),
+        RelayedResponse::Stream(stream) if caller.has_chunks => Ok(relayed_stream_response(
+            state, plan, *stream, caller.io, open,
+        )),
+        RelayedResponse::Stream(mut stream) => {
+            let mut body = BytesMut::new();
+            while let Some(bytes) = stream.next_bytes().await? {
+                body.extend_from_slice(&bytes);
+            }
+            Ok(full_response(FullResponse {
+                status: stream.status,
+                headers: std::mem::take(&mut stream.headers),
+                body: body.freeze(),
+            }))
+        }
+    }
+}
+
+/// Spawns the task that reads a stream from another router and returns the response that it feeds.
+fn relayed_stream_response<D: EdgeDialect>(
+    state: &Rc<TrafficState<D>>,
+    plan: &Rc<CallPlan>,
+    mut stream: RelayedStream,
+    caller: Option<IoRef>,
+    open: OpenCallGuard<D>,
+) -> FrontResponse {
+    let (sender, chunks) = channel(MAX_BUFFERED_CHUNKS);
+    let status = stream.status;
+    let headers = std::mem::take(&mut stream.headers);
+    let (state, plan) = (Rc::clone(state), Rc::clone(plan));
+    let unread = caller.clone();
+    let task = TaskGuard::spawn(async move {
+        let _open = open;
+        let time_left = || plan.deadline.since(state.now());
+        tokio::select! {
+            biased;
+            outcome = pass_on(&mut stream, &sender, time_left) => {
+                // The HTTP library does not poll the body while the caller reads nothing.
+                if outcome == "unread" && let Some(connection) = unread {
+                    connection.terminate();
+                }
+            }
+            () = state.board.await_calls_end() => {}
+        }
+    });
+    let body = RelayBody::Stream {
+        chunks,
+        caller,
+        ended: false,
+        _task: task,
+    };
+    let mut response = ntex::http::Response::with_body(status, body);
+    copy_response_headers(&headers, &mut response);
+    response
+}
+
 fn failure_label(failure: CallFailure) -> &'static str {
     match failure {
         CallFailure::NotRun => "not-run",
@@ -487,6 +573,29 @@
     }
 }
 
+/// Passes a stream from another router on to its end, or until no time is left.
+async fn pass_on<F: Fn() -> Duration>(
+    stream: &mut RelayedStream,
+    sender: &tokio::sync::mpsc::Sender<StreamChunk>,
+    time_left: F,
+) -> &'static str {
+    loop {
+        let chunk = match timeout(time_left(), stream.next_bytes()).await {
+            Ok(Ok(Some(bytes))) => StreamChunk::Events(bytes),
+            Ok(Ok(None)) => StreamChunk::End,
+            Ok(Err(_)) => return "unknown",
+            Err(_) => return "late",
+        };
+        let ended = matches!(chunk, StreamChunk::End);
+        match timeout(time_left(), sender.send(chunk)).await {
+            Ok(Ok(())) if ended => return "answered",
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return "caller-left",
+            Err(_) => return "unread",
+        }
+    }
+}
+
 /// Copies an upstream's headers to the response, without hop-by-hop headers.
 fn copy_response_headers(headers: &HeaderMap, response: &mut FrontResponse) {
     let named = connection_options(headers);
--- a/src/forward/front_server.rs
+++ b/src/forward/front_server.rs
@@ -42,6 +42,9 @@
 /// Interval at which a closing router checks whether all responses were sent.
 const SENT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval at which a router that reaches no upstream tries to connect to one.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Interval at which idle callers' connections are closed.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -295,6 +298,14 @@
     }
 }
 
+/// Looks for an upstream in reach while none is.
+pub async fn probe_uplink<D: EdgeDialect>(state: Rc<TrafficState<D>>) {
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        state.probe_uplink().await;
+    }
+}
+
 /// Closes callers' connections that were idle for too long. The HTTP library would apply the timeout
 /// that was in force when they were opened.
 pub async fn close_idle_callers<D: EdgeDialect>(state: Rc<TrafficState<D>>) {
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -1,10 +1,10 @@
 //! State that all calls on a traffic thread share: statistics of the upstreams, retry budgets, idle
 //! connections and the rate limits of log lines.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -12,6 +12,8 @@
 
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::dialect::{EdgeDialect, PromptPrefix, ResponseHead};
 use crate::fleet::upstream_entry::{ServingState, UpstreamEntry};
@@ -19,17 +21,19 @@
 use crate::forward::caller_connections::CallerConnections;
 use crate::forward::connection_pool::ConnectionPool;
 use crate::forward_board::ForwardBoard;
-use crate::ids::{RouteKey, ServiceId, SuspectTag, UpstreamKey, VersionTag};
+use crate::ids::{DataCenterTag, RouteKey, ServiceId, SuspectTag, UpstreamKey, VersionTag};
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::mono::{MonoTime, ProcessClock};
 use crate::policy::call_attempts::AttemptFault;
 use crate::policy::call_times::CallTimes;
 use crate::policy::latest_loads::{UpstreamLoad, UpstreamTag};
+use crate::policy::locate_choice::RouterPlace;
 use crate::policy::prompt_load::PromptLoad;
 use crate::policy::rate_limits::{FleetPlace, RateLimits};
 use crate::policy::retry_window::RetryWindow;
 use crate::policy::stop_admission::CallNeed;
 use crate::policy::suspect_work::SuspectDecision;
+use crate::policy::uplink_state::UplinkState;
 use crate::policy::upstream_choice::{
     Eligibility, SharedPart, UpstreamCandidate, choose_upstream, next_preferred,
     restrict_candidates,
@@ -54,6 +58,24 @@
 /// Minimum value of `retry-after` for a service whose upstreams set limits.
 const MIN_LIMIT_WAIT: Duration = Duration::from_millis(100);
 
+/// Timeout of a trial connection to an upstream while none is in reach.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Number of calls that other routers may have for this one at a time.
+const MAX_OPEN_RELAYS: usize = 512;
+
+/// Time after which a router is offered calls again that could not be connected to.
+const PEER_RETRY_TIME: Duration = Duration::from_secs(1);
+
+/// Counts a call that another router has for this one until it is dropped.
+pub struct RelaySlot<D: EdgeDialect>(Rc<TrafficState<D>>);
+
+impl<D: EdgeDialect> Drop for RelaySlot<D> {
+    fn drop(&mut self) {
+        self.0.open_relays.update(|count| count.saturating_sub(1));
+    }
+}
+
 /// State of a traffic thread, shared by its calls.
 pub struct TrafficState<D> {
     /// Reads and writes the HTTP heads.
@@ -73,6 +95,12 @@
     prompt_load: RefCell<PromptLoad>,
     /// Upstreams that have asked this router to wait.
     waits: RefCell<UpstreamWaits>,
+    /// Whether connections to upstreams can be opened.
+    uplink: RefCell<UplinkState>,
+    /// Routers that took no call of this one, and when they may be asked again.
+    avoided_peers: RefCell<HashMap<Ipv4Addr, MonoTime>>,
+    /// Number of calls that other routers have for this one.
+    open_relays: Cell<usize>,
     /// Limits the rate of log lines about successful calls.
     call_log_limiter: RefCell<LogRateLimiter>,
     /// Limits the rate of log lines about requests that are refused before they are forwarded.
@@ -156,6 +184,9 @@
             call_times: RefCell::default(),
             prompt_load: RefCell::default(),
             waits: RefCell::default(),
+            uplink: RefCell::default(),
+            avoided_peers: RefCell::default(),
+            open_relays: Cell::new(0),
             call_log_limiter: RefCell::default(),
             refusal_log_limiter: RefCell::default(),
             wait_log_limiter: RefCell::default(),
@@ -467,6 +498,91 @@
         members.any(|entry| entry.version_tag() == version && !self.leaves(entry))
     }
 
+    /// Records that a connection to an upstream was opened.
+    pub fn record_reached(&self) {
+        let upstreams = self.board.upstreams.load().len();
+        if self
+            .uplink
+            .borrow_mut()
+            .record_reached(upstreams, self.now())
+        {
+            spdlog::info!("uplink-regained", kv: { upstreams: = upstreams });
+        }
+        self.telemetry.stranded.set(0);
+    }
+
+    /// Records that no connection to an upstream could be opened.
+    pub fn record_unreached(&self, upstream: UpstreamKey) {
+        let was_stranded = self.is_stranded();
+        self.uplink
+            .borrow_mut()
+            .record_unreachable(upstream, self.now());
+        if self.is_stranded() && !was_stranded {
+            let upstreams = self.board.upstreams.load();
+            spdlog::warn!("uplink-lost", kv: { upstreams: = upstreams.len() });
+            self.telemetry.stranded.set(1);
+            // Their connections may be dead as well.
+            for entry in upstreams.iter() {
+                self.pool.borrow_mut().close(entry.id.key());
+            }
+        }
+    }
+
+    /// Returns whether this router reaches no upstream, while there are other routers.
+    pub fn is_stranded(&self) -> bool {
+        let upstreams = self.board.upstreams.load().len();
+        self.uplink.borrow().is_stranded(upstreams, self.now())
+            && self.board.serving_routers.load().len() > 1
+    }
+
+    /// Returns the routers to offer a call to: near ones first, otherwise in random order.
+    pub fn relay_peers(&self) -> Vec<Ipv4Addr> {
+        let now = self.now();
+        let settings = self.board.settings.load();
+        let own_data_center = DataCenterTag::from(&settings.data_center);
+        let avoided = self.avoided_peers.borrow();
+        let routers = self.board.serving_routers.load();
+        let may_ask = |router: &&RouterPlace| {
+            let retry_at = avoided.get(&router.address);
+            router.address != settings.address && retry_at.is_none_or(|&at| at <= now)
+        };
+        let mut peers: Vec<RouterPlace> = routers.iter().filter(may_ask).copied().collect();
+        peers.sort_by_cached_key(|peer| (peer.data_center != own_data_center, self.draw()));
+        peers.into_iter().map(|peer| peer.address).collect()
+    }
+
+    /// Records that a router could not be offered a call.
+    pub fn avoid_relay_peer(&self, peer: Ipv4Addr) {
+        let retry_at = self.now() + PEER_RETRY_TIME;
+        self.avoided_peers.borrow_mut().insert(peer, retry_at);
+    }
+
+    /// Counts a call that another router is to have, unless they have too many.
+    pub fn open_relay(self: &Rc<Self>) -> Option<RelaySlot<D>> {
+        if self.open_relays.get() >= MAX_OPEN_RELAYS {
+            return None;
+        }
+        self.open_relays.update(|count| count + 1);
+        Some(RelaySlot(Rc::clone(self)))
+    }
+
+    /// Tries to connect to an upstream if none is known to be in reach.
+    pub async fn probe_uplink(&self) {
+        if !self.is_stranded() {
+            self.telemetry.stranded.set(0);
+            return;
+        }
+        let upstreams = self.board.upstreams.load_full();
+        let drawn = self.draw() as usize % upstreams.len().max(1);
+        let Some(entry) = upstreams.get(drawn) else {
+            return;
+        };
+        match timeout(PROBE_TIMEOUT, TcpStream::connect(entry.address)).await {
+            Ok(Ok(_)) => self.record_reached(),
+            _ => self.record_unreached(entry.id.key()),
+        }
+    }
+
     /// Returns whether the upstream is draining, has said that it leaves, or is no longer registered.
     pub fn is_leaving(&self, upstream: UpstreamKey) -> bool {
         let upstreams = self.board.upstreams.load();
--- a/src/forward_node.rs
+++ b/src/forward_node.rs
@@ -12,7 +12,8 @@
 use crate::error::{RouterError, RouterResult, StepName};
 use crate::fleet::store_view::DocumentCodec;
 use crate::forward::front_server::{
-    close_idle_callers, listen, serve_callers, serve_queries, sweep_state, watch_responses,
+    close_idle_callers, listen, probe_uplink, serve_callers, serve_queries, sweep_state,
+    watch_responses,
 };
 use crate::forward::traffic_state::TrafficState;
 use crate::forward_board::ForwardBoard;
@@ -70,6 +71,7 @@
         }
         tokio::task::spawn_local(sweep_state(Rc::clone(&state), SWEEP_PERIOD));
         tokio::task::spawn_local(close_idle_callers(Rc::clone(&state)));
+        tokio::task::spawn_local(probe_uplink(Rc::clone(&state)));
         tokio::task::spawn_local(watch_responses(Rc::clone(&state)));
         tokio::task::spawn_local(serve_callers(front, state));
         result.await.unwrap_or(Ok(()))
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,7 @@
 pub mod ticket;
 pub mod ticket_ledger;
 pub mod token_bucket;
+pub mod uplink_state;
 pub mod upstream_choice;
 pub mod upstream_health;
 pub mod upstream_stats;
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -60,6 +60,10 @@
     pub versions_mixed: IntGauge,
     /// Number of calls that took a stream up, by how its version was found.
     pub take_ups: IntCounterVec,
+    /// Number of offers of calls to other routers, by outcome.
+    pub relayed: IntCounterVec,
+    /// Whether this router reaches no upstream.
+    pub stranded: IntGauge,
     /// Number of routers that are up.
     pub routers: IntGauge,
     /// Number of prompt parts and calls that are held back.
@@ -154,6 +158,12 @@
                 "Calls that took a stream up, by how its version was found",
                 &["version"],
             )?,
+            relayed: counters(
+                "relayed_total",
+                "Offers of calls to other routers while this one reaches no upstream",
+                &["outcome"],
+            )?,
+            stranded: gauge("stranded", "Whether this router reaches no upstream")?,
             routers: gauge("routers", "Routers that are up")?,
             suspects_held: gauge("suspects_held", "Prompt parts and calls that are held back")?,
             calls_open: gauge("calls_open", "Calls in progress")?,
--- a/tests/call_tag.rs
+++ b/tests/call_tag.rs
@@ -17,6 +17,7 @@
         prompt: Vec::new(),
         resume_after: None,
         resumes: None,
+        is_relayed: false,
         headers: HeaderMap::new(),
     }
 }
--- a/tests/metrics_page.rs
+++ b/tests/metrics_page.rs
@@ -15,6 +15,8 @@
     metrics.call_seconds.with_label_values(&["a"]).observe(0.1);
     metrics.faults.with_label_values(&["a"]).inc();
     metrics.replacements.with_label_values(&["a"]).inc();
+    metrics.take_ups.with_label_values(&["a"]).inc();
+    metrics.relayed.with_label_values(&["a"]).inc();
     let text = String::from_utf8(metrics.text().expect("text")).expect("UTF-8");
     let served: BTreeSet<&str> = text
         .lines()
