--- a/src/fleet/version_history.rs
+++ b/src/fleet/version_history.rs
@@ -54,7 +54,8 @@
     /// Records that a version served new streams at `at`.
     pub fn record(&mut self, service: ServiceKey, version: VersionTag, at: MonoTime) {
         if self.uses.len() >= MAX_USES && !self.uses.contains_key(&(service, version)) {
-            self.covered_since = None;
+            // Uses before this one may be missing.
+            self.covered_since = self.covered_since.map(|since| since.max(at));
             return;
         }
         let last_used = self.uses.entry((service, version)).or_insert(at);
--- a/src/forward/call_relay.rs
+++ b/src/forward/call_relay.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::dialect::EdgeDialect;
+use crate::forward::body_budget::BodyBudget;
 use crate::forward::http_connection::HttpConnection;
 use crate::forward::traffic_state::TrafficState;
 use crate::forward::upstream_response::{CallPlan, FullResponse};
@@ -67,6 +68,23 @@
             }
         }
     }
+
+    /// Reads the whole body, if it fits into the memory for such bodies.
+    pub async fn read_to_end(mut self, budget: &BodyBudget) -> Result<FullResponse, CallFailure> {
+        let mut body = BytesMut::new();
+        let mut reservation = budget.open();
+        while let Some(bytes) = self.next_bytes().await? {
+            if !reservation.grow_to(body.len() + bytes.len()) {
+                return Err(CallFailure::Unknown);
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(FullResponse {
+            status: self.status,
+            headers: self.headers,
+            body: body.freeze(),
+        })
+    }
 }
 
 /// A call that is offered to other routers.
@@ -127,7 +145,7 @@
         let request = self.build_request()?;
         let response = connection.send(request, self.plan.body.len()).await?;
         let (parts, body) = response.into_parts();
-        let mut stream = RelayedStream {
+        let stream = RelayedStream {
             status: parts.status,
             headers: parts.headers,
             body,
@@ -136,22 +154,10 @@
         if stream.status.is_success() && self.plan.route.kind.streams() {
             return Ok(RelayedResponse::Stream(Box::new(stream)));
         }
-        let mut body = BytesMut::new();
-        let mut reservation = self.state.body_budget.open();
-        loop {
-            match stream.next_bytes().await {
-                Ok(Some(bytes)) if reservation.grow_to(body.len() + bytes.len()) => {
-                    body.extend_from_slice(&bytes);
-                }
-                Ok(None) => break,
-                Ok(Some(_)) | Err(_) => return Err(AttemptFault::Broken),
-            }
-        }
-        Ok(RelayedResponse::Full(FullResponse {
-            status: stream.status,
-            headers: stream.headers,
-            body: body.freeze(),
-        }))
+        let response = stream.read_to_end(&self.state.body_budget).await;
+        response
+            .map(RelayedResponse::Full)
+            .map_err(|_| AttemptFault::Broken)
     }
 
     fn build_request(&self) -> Result<Request<Full<Bytes>>, AttemptFault> {
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -434,16 +434,11 @@
         RelayedResponse::Stream(stream) if caller.has_chunks => Ok(relayed_stream_response(
             state, plan, *stream, caller.io, open,
         )),
-        RelayedResponse::Stream(mut stream) => {
-            let mut body = BytesMut::new();
-            while let Some(bytes) = stream.next_bytes().await? {
-                body.extend_from_slice(&bytes);
-            }
-            Ok(full_response(FullResponse {
-                status: stream.status,
-                headers: std::mem::take(&mut stream.headers),
-                body: body.freeze(),
-            }))
+        RelayedResponse::Stream(stream) => {
+            let left = plan.deadline.since(state.now());
+            let response = timeout(left, stream.read_to_end(&state.body_budget)).await;
+            let response = response.unwrap_or(Err(CallFailure::Late))?;
+            Ok(full_response(response))
         }
     }
 }
@@ -467,10 +462,7 @@
         tokio::select! {
             biased;
             outcome = pass_on(&mut stream, &sender, time_left) => {
-                // The HTTP library does not poll the body while the caller reads nothing.
-                if outcome == "unread" && let Some(connection) = unread {
-                    connection.terminate();
-                }
+                close_unread(outcome, unread);
             }
             () = state.board.await_calls_end() => {}
         }
@@ -481,9 +473,7 @@
         ended: false,
         _task: task,
     };
-    let mut response = ntex::http::Response::with_body(status, body);
-    copy_response_headers(&headers, &mut response);
-    response
+    response_with(status, &headers, body)
 }
 
 fn failure_label(failure: CallFailure) -> &'static str {
@@ -501,11 +491,24 @@
 
 fn full_response(upstream: FullResponse) -> FrontResponse {
     let body = RelayBody::Full(Some(upstream.body));
-    let mut response = ntex::http::Response::with_body(upstream.status, body);
-    copy_response_headers(&upstream.headers, &mut response);
+    response_with(upstream.status, &upstream.headers, body)
+}
+
+fn response_with(status: StatusCode, headers: &HeaderMap, body: RelayBody) -> FrontResponse {
+    let mut response = ntex::http::Response::with_body(status, body);
+    copy_response_headers(headers, &mut response);
     response
 }
 
+/// Closes the connection of a caller that reads nothing: the HTTP library does not poll the body then.
+fn close_unread(outcome: &str, connection: Option<IoRef>) {
+    if outcome == "unread"
+        && let Some(connection) = connection
+    {
+        connection.terminate();
+    }
+}
+
 /// Spawns the task that relays a stream and returns the response that it feeds.
 fn stream_response<D: EdgeDialect>(
     mut call: FrontCall<D>,
@@ -530,12 +533,7 @@
             timer.record();
         }
         call.finish(outcome, status.as_u16());
-        // The HTTP library does not poll the body while the caller reads nothing.
-        if outcome == "unread"
-            && let Some(connection) = unread
-        {
-            connection.terminate();
-        }
+        close_unread(outcome, unread);
     });
     let body = RelayBody::Stream {
         chunks,
@@ -543,9 +541,7 @@
         ended: false,
         _task: task,
     };
-    let mut response = ntex::http::Response::with_body(status, body);
-    copy_response_headers(&headers, &mut response);
-    response
+    response_with(status, &headers, body)
 }
 
 /// Relays a stream to its end, or until the deadline of the call. Returns the outcome for the log.
