Read the store's history only after its first whole read

Cause: a router serves from the first page of a large store on; it asked for the store's history between two pages, so that the end of the read began a gap again: the history counted for nothing, the read was interrupted, and upstreams were asked for their cached prompts without need. Found by the whole suite at: refused_replacements (four tests), silence_matrix, fault_soak and store_faults busy_store failed. Change: the question waits for a whole read.

--- a/src/forward_control/control_state/past_versions.rs
+++ b/src/forward_control/control_state/past_versions.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 
 use super::ControlState;
+use crate::fleet::store_stamp::StoreStamp;
 use crate::fleet::store_view::{DocumentCodec, StoreHistory};
 use crate::fleet::upstream_entry::{StartTime, UpstreamEntry};
 use crate::fleet::version_history::{HISTORY_SPAN, history_time};
@@ -67,7 +68,9 @@
         if self.past_search.is_done || self.board.stage() != ForwardStage::Serving {
             return None;
         }
-        if now < self.past_search.next_read {
+        // A whole read of the store must come first, since a gap ends with it.
+        let is_read = self.store_view.stamp() > StoreStamp::default();
+        if !is_read || now < self.past_search.next_read {
             return None;
         }
         let is_needed = !self.covers_streams(now) && self.past_search.reads < MAX_READS;
