Offer passed calls to routers of other data centres early

Cause: three routers were asked, near ones first: all were cut off as well. Change: one router of each data centre is asked before a second one of any, five at most.

--- a/src/forward/call_relay.rs
+++ b/src/forward/call_relay.rs
@@ -25,7 +25,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Number of routers that one call is offered to.
-const MAX_OFFERS: usize = 3;
+const MAX_OFFERS: usize = 5;
 
 /// Statuses by which a router says that it did not run a call and will not.
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -535,7 +535,8 @@
             && self.board.serving_routers.load().len() > 1
     }
 
-    /// Returns the routers to offer a call to: near ones first, otherwise in random order.
+    /// Returns the routers to offer a call to: one of each data centre before a second one of any, the
+    /// own data centre first, otherwise in random order. A whole data centre may be cut off.
     pub fn relay_peers(&self) -> Vec<Ipv4Addr> {
         let now = self.now();
         let settings = self.board.settings.load();
@@ -547,7 +548,13 @@
             router.address != settings.address && retry_at.is_none_or(|&at| at <= now)
         };
         let mut peers: Vec<RouterPlace> = routers.iter().filter(may_ask).copied().collect();
-        peers.sort_by_cached_key(|peer| (peer.data_center != own_data_center, self.draw()));
+        peers.sort_by_cached_key(|_| self.draw());
+        let mut rounds: HashMap<DataCenterTag, usize> = HashMap::new();
+        peers.sort_by_cached_key(|peer| {
+            let round = rounds.entry(peer.data_center).or_default();
+            *round += 1;
+            (*round, peer.data_center != own_data_center)
+        });
         peers.into_iter().map(|peer| peer.address).collect()
     }
 
