--- a/src/forward.rs
+++ b/src/forward.rs
@@ -23,6 +23,7 @@
 pub mod relay_progress;
 mod spliced_head;
 pub mod traffic_state;
+mod upstream_gates;
 mod upstream_response;
 mod wait_clock;
 mod wait_limits;
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -18,10 +18,11 @@
 use tokio::time::timeout;
 
 use crate::dialect::{EdgeDialect, PromptPrefix, ResponseHead};
-use crate::fleet::upstream_entry::{ServingState, UpstreamEntry};
+use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::forward::body_budget::BodyBudget;
 use crate::forward::caller_connections::CallerConnections;
 use crate::forward::connection_pool::ConnectionPool;
+use crate::forward::upstream_gates::{ConnectionGate, RateGate, StatementGate, TriedGate};
 use crate::forward::upstream_response::CallPlan;
 use crate::forward_board::ForwardBoard;
 use crate::ids::{
@@ -46,6 +47,7 @@
     Eligibility, SharedPart, UpstreamCandidate, choose_upstream, next_preferred,
     restrict_candidates,
 };
+use crate::policy::upstream_gate::{GateReason, UpstreamGate};
 use crate::policy::upstream_stats::UpstreamStats;
 use crate::policy::upstream_waits::{UpstreamOpening, UpstreamWaits, service_wait, spread_wait};
 use crate::prometheus_metrics::{PrometheusMetrics, set_count};
@@ -340,56 +342,35 @@
         work(&mut self.board.rate_limits(), place)
     }
 
-    /// Returns the upstreams among `members` whose limits allow this router no request now.
-    fn limited_upstreams(&self, members: &[&Arc<UpstreamEntry>]) -> Vec<UpstreamKey> {
-        let now = self.now();
-        self.with_rate_limits(|limits, place| {
-            if limits.is_empty() {
-                return Vec::new();
-            }
-            let keys = members.iter().map(|entry| entry.id.key());
-            let may_send = |key: UpstreamKey| {
-                let wait = limits.wait(key.into(), place, now);
-                wait.is_some_and(|wait| wait.is_zero())
-            };
-            keys.filter(|&key| !may_send(key)).collect()
-        })
+    /// Returns what upstreams, their entries and other routers have said about taking requests.
+    fn statement_gate(&self) -> StatementGate<'_> {
+        StatementGate {
+            leaving: self.board.leaving_upstreams(),
+            waits: self.waits.borrow(),
+            gone: self.gone.borrow(),
+            now: self.now(),
+        }
     }
 
-    /// Returns the upstreams among `members` that are gone or have said that they want no request
-    /// now.
-    fn declining_upstreams(&self, members: &[&Arc<UpstreamEntry>]) -> Vec<UpstreamKey> {
-        if self.board.leaving_upstreams().is_empty()
-            && self.waits.borrow().is_empty()
-            && self.gone.borrow().is_empty()
-        {
-            return Vec::new();
+    /// Returns this router's shares of the limits that upstreams set.
+    fn rate_gate(&self) -> RateGate<'_> {
+        RateGate {
+            limits: self.board.rate_limits(),
+            routers: self.board.serving_routers.load_full(),
+            own: self.board.settings.load().address,
+            fleet_size: self.board.fleet_size.load(Ordering::Relaxed),
+            now: self.now(),
         }
-        let declining = members.iter().filter(|entry| self.declines(entry));
-        declining.map(|entry| entry.id.key()).collect()
     }
 
     /// Returns whether the upstream is gone or has said that it wants no request now.
     pub fn declines(&self, entry: &UpstreamEntry) -> bool {
-        self.opening(entry) != UpstreamOpening::After(Duration::ZERO)
+        self.statement_gate().check(entry).is_some()
     }
 
     /// Returns whether the upstream is draining, has said that it leaves, or is gone.
     pub fn leaves(&self, entry: &UpstreamEntry) -> bool {
-        self.opening(entry) == UpstreamOpening::Never
-    }
-
-    /// Returns when the upstream takes a request, by what it and others have said.
-    fn opening(&self, entry: &UpstreamEntry) -> UpstreamOpening {
-        let (start, now) = (entry.start(), self.now());
-        if entry.state == ServingState::Draining
-            || entry.is_over(now)
-            || self.board.leaving_upstreams().contains(start)
-            || self.gone.borrow().contains(start, now)
-        {
-            return UpstreamOpening::Never;
-        }
-        UpstreamOpening::After(self.waits.borrow().wait(start, now))
+        self.statement_gate().check(entry) == Some(GateReason::Leaving)
     }
 
     /// Returns how long a caller has to wait until an upstream of `service` takes its call, with a
@@ -398,12 +379,18 @@
         let upstreams = self.board.upstreams.load();
         let members = upstreams.iter().filter(|entry| entry.service == *service);
         let members: Vec<&Arc<UpstreamEntry>> = members.collect();
-        if !members.iter().any(|entry| self.declines(entry)) {
+        let statements = self.statement_gate();
+        if !members
+            .iter()
+            .any(|entry| statements.check(entry).is_some())
+        {
             return None;
         }
-        let openings = members.iter().map(|entry| match self.opening(entry) {
+        let rates = self.rate_gate();
+        let openings = members.iter().map(|entry| match statements.opening(entry) {
             UpstreamOpening::After(wait) => {
-                UpstreamOpening::After(wait.max(self.own_limit_wait(entry)))
+                let limit_wait = rates.wait(entry).unwrap_or(OTHER_ROUTER_WAIT);
+                UpstreamOpening::After(wait.max(limit_wait))
             }
             UpstreamOpening::Never => UpstreamOpening::Never,
         });
@@ -411,15 +398,6 @@
         service_wait(openings).map(|wait| spread_wait(wait, draw))
     }
 
-    /// Returns how long the limit of an upstream allows this router no request.
-    fn own_limit_wait(&self, entry: &UpstreamEntry) -> Duration {
-        let now = self.now();
-        self.with_rate_limits(|limits, place| {
-            let wait = limits.wait(entry.id.key().into(), place, now);
-            wait.unwrap_or(OTHER_ROUTER_WAIT)
-        })
-    }
-
     /// Returns the time until a limit of an upstream of `service` allows another request, or `None`
     /// if none of them sets a limit.
     pub fn limit_wait(&self, service: &ServiceId) -> Option<Duration> {
@@ -460,8 +438,6 @@
         suspect: &[UpstreamKey],
     ) -> Vec<UpstreamCandidate> {
         let now = self.now();
-        let mut declining = self.limited_upstreams(members);
-        declining.extend(self.declining_upstreams(members));
         let settings = self.board.settings.load();
         let router_count = self.board.fleet_size.load(Ordering::Relaxed);
         let upstream_stats = self.upstream_stats.borrow();
@@ -475,17 +451,20 @@
         let max_own_calls = table.service(service).map_or(u32::MAX, |rule| {
             rule.max_connections / router_count.max(1) as u32
         });
+        let connections = ConnectionGate {
+            stats: &upstream_stats,
+            max_own_calls: max_own_calls.max(1),
+        };
+        let gates = (
+            self.statement_gate(),
+            (TriedGate { excluded }, (self.rate_gate(), connections)),
+        );
         members
             .iter()
             .map(|entry| {
                 let key = entry.id.key();
                 let stats = stats_of(key);
-                let is_excluded = entry.state == ServingState::Draining
-                    || entry.is_over(now)
-                    || excluded.contains(&key)
-                    || declining.contains(&key)
-                    || stats.own_calls >= max_own_calls.max(1);
-                let eligibility = if is_excluded {
+                let eligibility = if gates.check(entry).is_some() {
                     Eligibility::Excluded
                 } else if suspect.contains(&key) {
                     Eligibility::LastResort
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,6 +45,7 @@
 pub mod token_bucket;
 pub mod uplink_state;
 pub mod upstream_choice;
+pub mod upstream_gate;
 pub mod upstream_health;
 pub mod upstream_stats;
 pub mod upstream_waits;
