Evacuate data centres that the store names

The operator sets a key to keep calls away from the upstreams of a data centre until it is deleted. The view of the store keeps the last change of each key with its stamp, passes it on to peers, and publishes the set, which a gate of the choice of an upstream reads.

--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -12,11 +12,12 @@
 use bytes::Bytes;
 
 use crate::fleet::cached_entry::{CachedEntry, EntryState, ListingVerdict};
+use crate::fleet::evacuation_table::{EvacuationSet, EvacuationTable};
 use crate::fleet::renewal_outage::{EXPIRY_GRACE, RenewalOutage, StoreFailure};
 use crate::fleet::store_stamp::{StoreRevision, StoreStamp};
 use crate::fleet::upstream_entry::{StartTime, UpstreamEntry};
 use crate::fleet::version_history::{HistoryReport, VersionHistory, history_time};
-use crate::ids::PartTag;
+use crate::ids::{DataCenterId, PartTag};
 use crate::mono::MonoTime;
 use crate::route::{ConfigVersion, RouteTable};
 
@@ -114,6 +115,12 @@
     /// Decodes the entry of an upstream; `None` if `key` is not the key of an entry.
     fn decode_entry(&self, key: &str, value: &Bytes) -> Option<anyhow::Result<UpstreamEntry>>;
 
+    /// Decodes the key that evacuates a data centre while it is set, whatever its value; `None` if `key`
+    /// is not such a key, an error if it names no data centre.
+    fn decode_evacuation(&self, _key: &str) -> Option<anyhow::Result<DataCenterId>> {
+        None
+    }
+
     /// The path at which upstreams list the parts of prompts that they have cached; `None` if they
     /// don't.
     fn cached_parts_path(&self) -> Option<&'static str> {
@@ -143,12 +150,23 @@
     pub config: bool,
     /// Whether the set of upstreams or an entry changed.
     pub upstreams: bool,
+    /// Whether a data centre was evacuated or taken back into use.
+    pub evacuations: bool,
 }
 
 impl MergeEffect {
-    fn join(&mut self, other: Self) {
+    /// Adds the changes of another merge.
+    pub fn join(&mut self, other: Self) {
         self.config |= other.config;
         self.upstreams |= other.upstreams;
+        self.evacuations |= other.evacuations;
+    }
+
+    fn of_evacuations(evacuations: bool) -> Self {
+        Self {
+            evacuations,
+            ..Self::default()
+        }
     }
 }
 
@@ -165,6 +183,7 @@
     /// State of the store at the last change of the configuration that was refused last.
     refused_config: Option<StoreStamp>,
     entries: BTreeMap<String, CachedEntry>,
+    evacuations: EvacuationTable,
     /// Latest state at a removal that was discarded. Changes since an earlier state are no longer
     /// complete.
     discarded: StoreStamp,
@@ -189,6 +208,7 @@
             config: None,
             refused_config: None,
             entries: BTreeMap::new(),
+            evacuations: EvacuationTable::default(),
             discarded: StoreStamp::default(),
             log_quota: MAX_LOGGED_ENTRIES,
             unusable_quota: MAX_LOGGED_ENTRIES,
@@ -258,6 +278,96 @@
         entries.filter_map(usable).collect()
     }
 
+    /// The evacuated data centres.
+    pub fn evacuations(&self) -> EvacuationSet {
+        self.evacuations.to_set()
+    }
+
+    /// The known changes of evacuations.
+    pub fn evacuation_table(&self) -> &EvacuationTable {
+        &self.evacuations
+    }
+
+    /// Whether all evacuations up to [`StoreView::stamp`] are known.
+    pub fn knows_evacuations(&self) -> bool {
+        self.evacuations.stamp() >= self.stamp
+    }
+
+    /// State of the store up to which all changes are known, those of evacuations included.
+    pub fn covered_stamp(&self) -> StoreStamp {
+        self.stamp.min(self.evacuations.stamp())
+    }
+
+    /// Merges the changes of evacuations among those of a peer that passes them on. They are complete up
+    /// to `known`, together with what this router knew if they are not `full`. Called before the
+    /// other changes of the peer are merged.
+    pub fn merge_peer_evacuations(
+        &mut self,
+        changes: &[StoreChange],
+        full: bool,
+        known: StoreStamp,
+        now: MonoTime,
+    ) -> MergeEffect {
+        self.evacuations.begin_log();
+        let mut effect = MergeEffect::default();
+        for change in changes {
+            let merged = match change {
+                StoreChange::Removed { key, stamp, .. } => {
+                    self.withdraw_evacuation(key, *stamp, now)
+                }
+                StoreChange::Written(item) | StoreChange::Withheld { item, .. }
+                    if self.evacuations.is_outdated(item) =>
+                {
+                    None
+                }
+                StoreChange::Written(item) | StoreChange::Withheld { item, .. } => {
+                    self.write_evacuation(item)
+                }
+            };
+            effect.join(merged.unwrap_or_default());
+        }
+        if full {
+            let listed = changes.iter().map(StoreChange::key).collect();
+            let has_ended = self.evacuations.end_listing(&listed, known, now);
+            effect.join(MergeEffect::of_evacuations(has_ended));
+        }
+        self.evacuations.advance(known);
+        effect
+    }
+
+    /// Merges a written document if it evacuates a data centre; `None` if it is another one.
+    fn write_evacuation(&mut self, item: &StoreItem) -> Option<MergeEffect> {
+        let changed = match self.codec.decode_evacuation(&item.key)? {
+            Ok(data_center) => {
+                let predates_era = self.may_predate_era(item.stamp);
+                let (key, stamp) = (item.key.as_str(), item.stamp);
+                self.evacuations
+                    .write(key, &data_center, stamp, predates_era)
+            }
+            Err(error) => {
+                self.evacuations.ignore(&item.key, &error.to_string());
+                false
+            }
+        };
+        Some(MergeEffect::of_evacuations(changed))
+    }
+
+    /// Merges a removal if it ends the evacuation of a data centre; `None` if it is of another document.
+    fn withdraw_evacuation(
+        &mut self,
+        key: &str,
+        stamp: StoreStamp,
+        now: MonoTime,
+    ) -> Option<MergeEffect> {
+        let changed = if let Ok(data_center) = self.codec.decode_evacuation(key)? {
+            self.evacuations.withdraw(key, &data_center, stamp, now)
+        } else {
+            self.evacuations.forget_ignored(key);
+            false
+        };
+        Some(MergeEffect::of_evacuations(changed))
+    }
+
     /// The software versions that were in use lately.
     pub fn history(&self) -> &VersionHistory {
         &self.history
@@ -372,6 +482,10 @@
         }
         self.end_log();
         self.advance(stamp);
+        // A later era is read as a whole first.
+        if self.evacuations.stamp().era == stamp.era {
+            self.evacuations.advance(stamp);
+        }
         effect
     }
 
@@ -444,6 +558,12 @@
                 StoreChange::Removed { key, stamp, grace } => {
                     self.remove(&key, stamp, grace.min(EXPIRY_GRACE), now)
                 }
+                // Merged by `merge_peer_evacuations`, where the peer knows them.
+                StoreChange::Written(item) | StoreChange::Withheld { item, .. }
+                    if self.codec.decode_evacuation(&item.key).is_some() =>
+                {
+                    MergeEffect::default()
+                }
                 StoreChange::Written(item) | StoreChange::Withheld { item, .. }
                     if self.is_removed(&item) =>
                 {
@@ -478,7 +598,11 @@
         let grace = self.outage.expiry_grace(now);
         let listed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
         let missing = self.listed_except(&listed, stamp);
+        let keys: Vec<String> = self.evacuation_keys(&items);
         let mut effect = self.merge_page(items, stamp, now);
+        let listed = keys.iter().map(String::as_str).collect();
+        let changed = self.evacuations.end_listing(&listed, stamp, now);
+        effect.join(MergeEffect::of_evacuations(changed));
         for key in missing {
             effect.join(self.remove(&key, stamp, grace, now));
         }
@@ -488,6 +612,13 @@
         effect
     }
 
+    fn evacuation_keys(&self, items: &[StoreItem]) -> Vec<String> {
+        let keys = items.iter().map(|item| &item.key);
+        keys.filter(|key| self.codec.decode_evacuation(key).is_some())
+            .cloned()
+            .collect()
+    }
+
     /// Raises the state; the caller has merged all changes up to `stamp`.
     fn advance(&mut self, stamp: StoreStamp) {
         self.stamp = self.stamp.max(stamp);
@@ -530,7 +661,9 @@
     /// Whether [`StoreView::changes_since`] returns every change after `since`. Removals older than
     /// `REMOVAL_RETENTION` are not retained, nor those between two eras.
     pub fn has_changes_since(&self, since: StoreStamp) -> bool {
-        since >= self.discarded && since.era >= self.stamp.era
+        since >= self.discarded
+            && self.evacuations.has_changes_since(since)
+            && since.era >= self.stamp.era
     }
 
     /// The changes after `since`, for a peer that has merged everything up to it.
@@ -539,30 +672,30 @@
             .entries
             .iter()
             .filter(|(_, cached)| cached.stamp > since);
-        newer
-            .map(|(key, cached)| {
-                let stamp = cached.stamp;
-                let item = |value: &Bytes| StoreItem {
-                    key: key.clone(),
-                    value: value.clone(),
-                    stamp,
-                };
-                let removed = |grace: Duration| StoreChange::Removed {
-                    key: key.clone(),
-                    stamp,
-                    grace,
-                };
-                match &cached.state {
-                    EntryState::Present(value, _) => StoreChange::Written(item(value)),
-                    EntryState::Withheld(until, value, _) => StoreChange::Withheld {
-                        item: item(value),
-                        span: until.since(now),
-                    },
-                    EntryState::Expiring(until, _) => removed(until.since(now)),
-                    EntryState::Removed(..) => removed(Duration::ZERO),
-                }
-            })
-            .collect()
+        let mut changes = self.evacuations.changes_since(since, now);
+        changes.extend(newer.map(|(key, cached)| {
+            let stamp = cached.stamp;
+            let item = |value: &Bytes| StoreItem {
+                key: key.clone(),
+                value: value.clone(),
+                stamp,
+            };
+            let removed = |grace: Duration| StoreChange::Removed {
+                key: key.clone(),
+                stamp,
+                grace,
+            };
+            match &cached.state {
+                EntryState::Present(value, _) => StoreChange::Written(item(value)),
+                EntryState::Withheld(until, value, _) => StoreChange::Withheld {
+                    item: item(value),
+                    span: until.since(now),
+                },
+                EntryState::Expiring(until, _) => removed(until.since(now)),
+                EntryState::Removed(..) => removed(Duration::ZERO),
+            }
+        }));
+        changes
     }
 
     /// Counts a log line about an entry; returns false once the merge has used up its lines.
@@ -576,6 +709,7 @@
     fn begin_log(&mut self) {
         self.log_quota = MAX_LOGGED_ENTRIES;
         self.unusable_quota = MAX_LOGGED_ENTRIES;
+        self.evacuations.begin_log();
     }
 
     /// Logs how many entries that can't be decoded the merge left out of the log.
@@ -604,6 +738,9 @@
         if item.key == self.codec.config_key() {
             return self.write_config(item);
         }
+        if let Some(effect) = self.write_evacuation(&item) {
+            return effect;
+        }
         // All entries of a later era have been merged.
         if item.stamp.era < self.stamp.era {
             return MergeEffect::default();
@@ -667,8 +804,8 @@
             });
         }
         MergeEffect {
-            config: false,
             upstreams: changed,
+            ..MergeEffect::default()
         }
     }
 
@@ -715,7 +852,7 @@
         });
         MergeEffect {
             config: true,
-            upstreams: false,
+            ..MergeEffect::default()
         }
     }
 
@@ -726,6 +863,9 @@
         grace: Duration,
         now: MonoTime,
     ) -> MergeEffect {
+        if let Some(effect) = self.withdraw_evacuation(key, stamp, now) {
+            return effect;
+        }
         if stamp.era < self.stamp.era {
             return MergeEffect::default();
         }
@@ -754,8 +894,8 @@
             });
         }
         MergeEffect {
-            config: false,
             upstreams: true,
+            ..MergeEffect::default()
         }
     }
 }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -11,6 +11,7 @@
 mod chunk_source;
 pub mod connection_headers;
 mod connection_pool;
+mod evacuated_upstreams;
 pub mod event_batch;
 pub mod event_reader;
 pub mod framing_limit;
--- a/src/forward/front_call/stream_source.rs
+++ b/src/forward/front_call/stream_source.rs
@@ -144,7 +144,7 @@
             reuse,
             ..
         } = self;
-        if reuse.allowed && !state.leaves(&guard.entry) {
+        if reuse.allowed && !state.is_closed(&guard.entry) {
             let now = state.now();
             let mut pool = state.pool.borrow_mut();
             let start = guard.entry.start();
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -363,9 +363,10 @@
         }
     }
 
-    /// Returns whether the upstream is gone or has said that it wants no request now.
+    /// Returns whether the upstream is gone, is evacuated or has said that it wants no request now.
     pub fn declines(&self, entry: &UpstreamEntry) -> bool {
-        self.statement_gate().check(entry).is_some()
+        let gates = (self.evacuation_gate(), self.statement_gate());
+        gates.check(entry).is_some()
     }
 
     /// Returns whether the upstream is draining, has said that it leaves, or is gone.
@@ -379,15 +380,17 @@
         let upstreams = self.board.upstreams.load();
         let members = upstreams.iter().filter(|entry| entry.service == *service);
         let members: Vec<&Arc<UpstreamEntry>> = members.collect();
-        let statements = self.statement_gate();
-        if !members
-            .iter()
-            .any(|entry| statements.check(entry).is_some())
-        {
+        let gates = (self.evacuation_gate(), self.statement_gate());
+        if !members.iter().any(|entry| gates.check(entry).is_some()) {
             return None;
         }
+        let (evacuations, statements) = gates;
         let rates = self.rate_gate();
-        let openings = members.iter().map(|entry| match statements.opening(entry) {
+        let opening = |entry: &UpstreamEntry| match evacuations.check(entry) {
+            Some(_) => UpstreamOpening::Never,
+            None => statements.opening(entry),
+        };
+        let openings = members.iter().map(|entry| match opening(entry) {
             UpstreamOpening::After(wait) => {
                 let limit_wait = rates.wait(entry).unwrap_or(OTHER_ROUTER_WAIT);
                 UpstreamOpening::After(wait.max(limit_wait))
@@ -459,12 +462,14 @@
             self.statement_gate(),
             (TriedGate { excluded }, (self.rate_gate(), connections)),
         );
+        let evacuations = self.evacuation_gate();
         members
             .iter()
             .map(|entry| {
                 let key = entry.id.key();
                 let stats = stats_of(key);
-                let eligibility = if gates.check(entry).is_some() {
+                let is_evacuated = evacuations.check(entry).is_some();
+                let eligibility = if is_evacuated || gates.check(entry).is_some() {
                     Eligibility::Excluded
                 } else if suspect.contains(&key) {
                     Eligibility::LastResort
@@ -483,7 +488,7 @@
                     is_reported: stats.is_reported(now),
                     is_local: entry.data_center == settings.data_center,
                     eligibility,
-                    cache_readable: !stats.health.in_backoff(now),
+                    cache_readable: !is_evacuated && !stats.health.in_backoff(now),
                 }
             })
             .collect()
@@ -498,12 +503,12 @@
         suspects.decide(tags, own, addresses, now)
     }
 
-    /// Returns whether a registered upstream of `service` has this software version and does not
-    /// leave.
+    /// Returns whether a registered upstream of `service` has this software version, does not leave and
+    /// is not evacuated.
     pub fn serves_version(&self, service: &ServiceId, version: VersionTag) -> bool {
         let upstreams = self.board.upstreams.load();
         let mut members = upstreams.iter().filter(|entry| entry.service == *service);
-        members.any(|entry| entry.version_tag() == version && !self.leaves(entry))
+        members.any(|entry| entry.version_tag() == version && !self.is_closed(entry))
     }
 
     /// Records that a connection to an upstream was opened.
@@ -525,7 +530,7 @@
     /// Records that trials could open no connections to these upstreams.
     fn record_failed_trials(&self, keys: &[UpstreamKey]) {
         let was_stranded = self.is_stranded();
-        let upstreams = self.board.upstreams.load();
+        let upstreams = self.open_upstreams();
         for &key in keys {
             let mut uplink = self.uplink.borrow_mut();
             uplink.record_failed_trial(key, upstreams.len(), self.now());
@@ -534,7 +539,7 @@
             spdlog::warn!("uplink-lost", kv: { upstreams: = upstreams.len() });
             self.telemetry.stranded.set(1);
             // Their connections may be dead as well.
-            for entry in upstreams.iter() {
+            for entry in &upstreams {
                 self.pool.borrow_mut().close(entry.id.key());
             }
         }
@@ -619,7 +624,7 @@
     pub async fn probe_uplink(&self) {
         let is_stranded = self.is_stranded();
         self.telemetry.stranded.set(is_stranded.into());
-        let upstreams = self.board.upstreams.load_full();
+        let upstreams = self.open_upstreams();
         let missing = {
             let uplink = self.uplink.borrow();
             uplink.missing_trials(upstreams.len(), self.now())
@@ -881,7 +886,7 @@
         drop(gone);
         let mut pool = self.pool.borrow_mut();
         for entry in upstreams.iter() {
-            if self.leaves(entry) {
+            if self.is_closed(entry) {
                 pool.close(entry.id.key());
             }
         }
--- a/src/forward/upstream_gates.rs
+++ b/src/forward/upstream_gates.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
+use crate::fleet::evacuation_table::EvacuationSet;
 use crate::fleet::upstream_entry::{ServingState, UpstreamEntry};
 use crate::ids::UpstreamKey;
 use crate::mono::MonoTime;
@@ -50,6 +51,18 @@
     }
 }
 
+/// The data centres that the operator has evacuated.
+pub struct EvacuationGate {
+    pub evacuations: Arc<EvacuationSet>,
+}
+
+impl UpstreamGate for EvacuationGate {
+    fn check(&self, entry: &UpstreamEntry) -> Option<GateReason> {
+        let is_evacuated = self.evacuations.contains(&entry.data_center);
+        is_evacuated.then_some(GateReason::Evacuated)
+    }
+}
+
 /// The upstreams that have not run a call when they received it.
 pub struct TriedGate<'a> {
     pub excluded: &'a [UpstreamKey],
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -9,6 +9,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::sync::{Notify, watch};
 
+use crate::fleet::evacuation_table::EvacuationSet;
 use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::fleet::version_history::VersionHistory;
 use crate::forward_settings::ForwardSettings;
@@ -60,6 +61,8 @@
     pub routes: ArcSwapOption<RouteTable>,
     /// All registered upstreams, draining ones included.
     pub upstreams: ArcSwap<Vec<Arc<UpstreamEntry>>>,
+    /// The evacuated data centres, and when others were taken back into use.
+    pub evacuations: ArcSwap<EvacuationSet>,
     /// The software versions that were in use lately.
     pub versions: ArcSwap<VersionHistory>,
     /// The routers that serve callers.
@@ -103,6 +106,7 @@
             settings: ArcSwap::from_pointee(settings),
             routes: ArcSwapOption::empty(),
             upstreams: ArcSwap::default(),
+            evacuations: ArcSwap::default(),
             versions: ArcSwap::default(),
             serving_routers: ArcSwap::default(),
             incarnations: ArcSwap::default(),
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -1,6 +1,7 @@
 //! State of the control thread of a forwarding router: the last known documents of the store, the
 //! membership table, and the stage that follows from them.
 
+mod evacuations;
 mod fresh_reads;
 mod past_versions;
 mod peer_documents;
@@ -26,6 +27,7 @@
 use crate::fleet::version_history::history_time;
 use crate::forward_board::{ForwardBoard, ForwardStage};
 use crate::forward_control::SettingsSource;
+use crate::forward_control::control_state::evacuations::EvacuationWatch;
 use crate::forward_control::control_state::past_versions::PastSearch;
 use crate::forward_control::store_task::{StoreCommand, StoreEvent};
 use crate::forward_settings::ForwardSettings;
@@ -88,6 +90,7 @@
     noticed: StoreStamp,
     stop_plan: Option<StopPlan>,
     past_search: PastSearch,
+    evacuation_watch: EvacuationWatch,
     /// Upstreams to ask for the parts of prompts that they have cached.
     part_questions: Vec<Arc<UpstreamEntry>>,
     /// Why the settings file was rejected when it was last read.
@@ -150,6 +153,7 @@
             noticed: StoreStamp::default(),
             stop_plan: None,
             past_search: PastSearch::default(),
+            evacuation_watch: EvacuationWatch::default(),
             part_questions: Vec::new(),
             settings_fault: None,
             frame_lines: LogRateLimiter::default(),
@@ -482,6 +486,10 @@
         {
             self.board.routes.store(Some(Arc::clone(&config.table)));
         }
+        // Before the upstreams: no call may be sent to a new one that is evacuated.
+        if effect.evacuations {
+            self.publish_evacuations();
+        }
         if effect.upstreams {
             self.board
                 .upstreams
@@ -580,6 +588,7 @@
         self.publish(effect);
         self.update_suspects(suspect_time(now));
         self.update_leaving(now);
+        self.update_evacuations();
         self.publish_versions(now);
         self.search_parts(now);
         let targets = self.members.begin_round(now, &mut rand::rng());
@@ -593,7 +602,7 @@
             .store_known_ms
             .store(known.as_millis() as u64, Ordering::Relaxed);
         TickRound {
-            store_command: self.update_role(now),
+            store_command: self.update_role(now).or_else(|| self.catch_up(now)),
             targets: targets
                 .into_iter()
                 .map(|address| self.gossip_address(address))
@@ -669,7 +678,7 @@
         });
         if reading {
             self.store_active = now;
-            return Some(StoreCommand::FollowFrom(stamp));
+            return Some(self.follow_command());
         }
         self.store_unreachable = false;
         Some(StoreCommand::Suspend)
--- /dev/null
+++ b/src/forward_control/control_state/evacuations.rs
@@ -0,0 +1,170 @@
+//! Evacuations of data centres: what is published of them, and how a router catches up that has heard
+//! of other changes from a router of an older build, which passes no evacuations on.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::ControlState;
+use crate::fleet::store_stamp::StoreStamp;
+use crate::fleet::store_view::{DocumentCodec, MergeEffect, StoreChange};
+use crate::forward_board::ForwardStage;
+use crate::forward_control::store_task::StoreCommand;
+use crate::ids::DataCenterId;
+use crate::mono::MonoTime;
+use crate::prometheus_metrics::set_count;
+
+/// Time between two reads of the store for the evacuations alone. It leaves most of the five seconds in
+/// which an evacuation must apply, and at 420 routers it bounds the additional requests to 210 a second
+/// while nearly all routers are of older builds.
+const CATCH_UP_PERIOD: Duration = Duration::from_secs(2);
+
+/// Time after which such a read is given up until the next one. A whole read of a large store on a slow
+/// link takes about as long.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time between two requests for all changes since the last known evacuations, if the router that
+/// answered last was of an older build. All documents of a large fleet are about a megabyte.
+const FULL_REQUEST_PERIOD: Duration = Duration::from_secs(10);
+
+/// How this router keeps up with evacuations.
+#[derive(Debug, Default)]
+pub(super) struct EvacuationWatch {
+    /// Evacuated data centres that no upstream is in, of which a line was logged.
+    unknown: BTreeSet<DataCenterId>,
+    /// Since when a read of the store for the evacuations is in progress.
+    catching_up_since: Option<MonoTime>,
+    next_catch_up: MonoTime,
+    next_full_request: MonoTime,
+    /// Whether the router that answered last passed no evacuations on.
+    has_older_peer: bool,
+    /// State after which documents were last requested.
+    asked_since: StoreStamp,
+}
+
+impl<C: DocumentCodec> ControlState<C> {
+    pub(super) fn publish_evacuations(&self) {
+        let evacuations = self.store_view.evacuations();
+        self.board.evacuations.store(evacuations.into());
+    }
+
+    /// Updates the metrics, and logs evacuated data centres that no upstream is in.
+    pub(super) fn update_evacuations(&mut self) {
+        let evacuations = self.board.evacuations.load();
+        let upstreams = self.board.upstreams.load();
+        let named: BTreeSet<&DataCenterId> =
+            upstreams.iter().map(|entry| &entry.data_center).collect();
+        let is_unknown = |data_center: &&DataCenterId| !named.contains(data_center);
+        let evacuated = evacuations.evacuated();
+        let unknown: BTreeSet<DataCenterId> =
+            evacuated.iter().filter(is_unknown).cloned().collect();
+        if self.board.stage() != ForwardStage::Booting {
+            let logged = &self.evacuation_watch.unknown;
+            let mut unlogged = unknown.difference(logged);
+            if let Some(first) = unlogged.next() {
+                spdlog::warn!("evacuation-unknown", kv: {
+                    data_center: = first, others: = unlogged.count()
+                });
+            }
+            self.evacuation_watch.unknown.clone_from(&unknown);
+        }
+        let entries = upstreams.iter();
+        let closed = entries.filter(|entry| evacuations.contains(&entry.data_center));
+        let telemetry = &self.telemetry;
+        let table = self.store_view.evacuation_table();
+        let counts = [
+            ("in_force", evacuated.len()),
+            ("unknown", unknown.len()),
+            ("unlisted", table.unlisted_count()),
+            ("ignored", table.ignored_count()),
+        ];
+        for (kind, count) in counts {
+            set_count(&telemetry.evacuations.with_label_values(&[kind]), count);
+        }
+        set_count(&telemetry.upstreams_evacuated, closed.count());
+    }
+
+    /// State after which a check of the store reads the changes.
+    pub(super) fn check_stamp(&self) -> StoreStamp {
+        let (stamp, covered) = (self.store_view.stamp(), self.store_view.covered_stamp());
+        // A revision of another era says nothing.
+        if covered.era == stamp.era {
+            covered
+        } else {
+            stamp
+        }
+    }
+
+    /// State after which a peer is to return all changes.
+    pub(super) fn request_stamp(&mut self, now: MonoTime) -> StoreStamp {
+        let watch = &mut self.evacuation_watch;
+        let mut since = self.store_view.covered_stamp();
+        if watch.has_older_peer && now < watch.next_full_request {
+            since = self.store_view.stamp();
+        } else {
+            watch.next_full_request = now + FULL_REQUEST_PERIOD;
+        }
+        watch.asked_since = since;
+        since
+    }
+
+    /// Merges the evacuations among the changes of a peer, which knows them up to `known`; `None` if it
+    /// is of a build that passes none on.
+    pub(super) fn merge_evacuations(
+        &mut self,
+        changes: &[StoreChange],
+        full: bool,
+        known: Option<StoreStamp>,
+        now: MonoTime,
+    ) -> MergeEffect {
+        self.evacuation_watch.has_older_peer = known.is_none();
+        let Some(known) = known else {
+            return MergeEffect::default();
+        };
+        let own = self.store_view.evacuation_table().stamp();
+        // The changes between both states are not in the response.
+        let has_gap = !full && self.evacuation_watch.asked_since > own;
+        let known = if has_gap { own } else { known };
+        self.store_view
+            .merge_peer_evacuations(changes, full, known, now)
+    }
+
+    /// Command to watch the store for all changes that this router lacks.
+    pub(super) fn follow_command(&self) -> StoreCommand {
+        let (stamp, covered) = (self.store_view.stamp(), self.store_view.covered_stamp());
+        if covered.era == stamp.era && covered > StoreStamp::default() {
+            StoreCommand::FollowFrom(covered)
+        } else {
+            StoreCommand::Restart
+        }
+    }
+
+    /// Reads the store once if this router leaves that to its peers and lacks evacuations.
+    pub(super) fn catch_up(&mut self, now: MonoTime) -> Option<StoreCommand> {
+        let lacks_evacuations = !self.store_view.knows_evacuations();
+        let is_reading = self.store_role.is_reading();
+        let follow = self.follow_command();
+        let watch = &mut self.evacuation_watch;
+        if let Some(since) = watch.catching_up_since {
+            if is_reading {
+                watch.catching_up_since = None;
+                return None;
+            }
+            if lacks_evacuations && now.since(since) < CATCH_UP_LIMIT {
+                return None;
+            }
+            watch.catching_up_since = None;
+            watch.next_catch_up = now + CATCH_UP_PERIOD;
+            self.store_unreachable = false;
+            return Some(StoreCommand::Suspend);
+        }
+        if !lacks_evacuations || is_reading || now < watch.next_catch_up {
+            return None;
+        }
+        watch.catching_up_since = Some(now);
+        spdlog::info!("evacuations-read", kv: {
+            revision: = self.store_view.evacuation_table().stamp().revision,
+            known: = self.store_view.stamp().revision
+        });
+        Some(follow)
+    }
+}
--- a/src/forward_control/control_state/fresh_reads.rs
+++ b/src/forward_control/control_state/fresh_reads.rs
@@ -24,7 +24,7 @@
     pub fn begin_check(&self) -> StoreCommand {
         StoreCommand::Check {
             number: self.board.store_checks().begin(self.now()),
-            known: self.store_view.stamp(),
+            known: self.check_stamp(),
         }
     }
 
--- a/src/forward_control/control_state/past_versions.rs
+++ b/src/forward_control/control_state/past_versions.rs
@@ -172,7 +172,9 @@
     /// Returns the upstreams to ask, and the path to ask for.
     pub fn take_part_questions(&mut self) -> Option<(Vec<Arc<UpstreamEntry>>, &'static str)> {
         let path = self.store_view.codec().cached_parts_path()?;
-        let questions = std::mem::take(&mut self.part_questions);
+        let mut questions = std::mem::take(&mut self.part_questions);
+        let evacuations = self.board.evacuations.load();
+        questions.retain(|entry| !evacuations.contains(&entry.data_center));
         (!questions.is_empty()).then_some((questions, path))
     }
 
--- a/src/forward_control/control_state/peer_documents.rs
+++ b/src/forward_control/control_state/peer_documents.rs
@@ -50,10 +50,11 @@
         let context = self.fetch_context();
         let peer = self.fetch_plan.next_fetch(context)?;
         let port = self.board.settings.load().control.port();
+        let since = self.request_stamp(context.now);
         let request = DocumentRequest {
             config_version: context.own.version.0,
-            store_revision: context.own.stamp.revision.0,
-            store_era: context.own.stamp.era.0,
+            store_revision: since.revision.0,
+            store_era: since.era.0,
         };
         Some((SocketAddrV4::new(peer, port), request))
     }
@@ -88,6 +89,7 @@
             store_era: stamp.era.0,
             base_revision: self.store_view.base_revision().0,
             versions: Some(self.version_columns(now)),
+            evacuations: Some(self.store_view.evacuation_table().stamp().into()),
         }
     }
 
@@ -109,17 +111,19 @@
                 // Ages grow by the time that the response took.
                 let versions = response.versions.as_ref();
                 let versions = versions.map(|columns| columns.report(now.saturating_sub(took)));
-                let changes = response
+                let changes: Vec<StoreChange> = response
                     .documents
                     .into_iter()
                     .map(|document| StoreChange::from(document).aged(took))
                     .collect();
-                let effect = if response.full {
+                let known = response.evacuations.map(StoreStamp::from);
+                let mut effect = self.merge_evacuations(&changes, response.full, known, now);
+                effect.join(if response.full {
                     self.store_view
                         .merge_peer_snapshot(changes, stamp, base, now)
                 } else {
                     self.store_view.merge_peer(changes, stamp, now)
-                };
+                });
                 self.store_view.merge_peer_history(
                     versions.as_ref(),
                     response.full,
@@ -131,10 +135,11 @@
                 spdlog::info!("documents-from-peer", kv: {
                     peer: = peer, documents: = count, full: = response.full,
                     revision: = stamp.revision, era: = stamp.era,
-                    version: = self.store_view.config_version()
+                    version: = self.store_view.config_version(), evacuations: = known.is_some()
                 });
                 self.publish(effect);
-                (before.stamp == StoreStamp::default()).then_some(stamp)
+                let has_all = self.store_view.knows_evacuations();
+                (has_all && before.stamp == StoreStamp::default()).then_some(stamp)
             }
             Err(error) => {
                 self.fetch_plan.end_fetch(false, now);
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -641,6 +641,34 @@
     /// responses of earlier versions.
     #[prost(message, optional, tag = "6")]
     pub versions: Option<VersionColumns>,
+    /// State of the store up to which the sender knows the evacuations of data centres, which are among
+    /// the documents. `None` in responses of earlier versions, which lack them.
+    #[prost(message, optional, tag = "7")]
+    pub evacuations: Option<EvacuationMark>,
+}
+
+/// State of the store up to which a router knows the evacuations of data centres.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct EvacuationMark {
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
+}
+
+impl From<StoreStamp> for EvacuationMark {
+    fn from(stamp: StoreStamp) -> Self {
+        Self {
+            revision: stamp.revision.0,
+            era: stamp.era.0,
+        }
+    }
+}
+
+impl From<EvacuationMark> for StoreStamp {
+    fn from(mark: EvacuationMark) -> Self {
+        Self::new(mark.era, mark.revision)
+    }
 }
 
 impl DocumentResponse {
--- a/src/policy/upstream_gate.rs
+++ b/src/policy/upstream_gate.rs
@@ -9,6 +9,8 @@
 pub enum GateReason {
     /// It is draining, has said that it leaves, or is gone.
     Leaving,
+    /// Its data centre is evacuated.
+    Evacuated,
     /// It has asked for no requests for this long.
     Declining(Duration),
     /// It has not run the call when it received it before.
@@ -25,6 +27,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
             Self::Declining(_) => "declining",
             Self::Tried => "tried",
             Self::Limited(_) => "limited",
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -48,6 +48,11 @@
     pub upstreams: IntGauge,
     /// Number of upstreams that a restored store lists though they were removed before.
     pub upstreams_withheld: IntGauge,
+    /// Number of evacuations by kind: in force, of an unknown data centre, not listed by a restored store,
+    /// and keys that are not used.
+    pub evacuations: IntGaugeVec,
+    /// Number of registered upstreams in evacuated data centres.
+    pub upstreams_evacuated: IntGauge,
     /// Number of upstreams that limit the rate of requests.
     pub upstreams_limited: IntGauge,
     /// Number of registered upstreams that have said that they leave.
@@ -105,6 +110,7 @@
         let (take_ups, store_checks) = register_take_ups(&registry)?;
         let (relayed, relayed_accounts) = register_relays(&registry)?;
         let (unreadable_frames, routers_without) = register_peers(&registry)?;
+        let (evacuations, upstreams_evacuated) = register_evacuations(&registry)?;
         Ok(Self {
             calls: counters("calls_total", "Finished calls", &["kind", "outcome"])?,
             call_seconds,
@@ -147,6 +153,8 @@
                 "upstreams_withheld",
                 "Upstreams that a restored store lists though they were removed before",
             )?,
+            evacuations,
+            upstreams_evacuated,
             upstreams_limited: gauge(
                 "upstreams_limited",
                 "Upstreams that limit the rate of requests",
@@ -240,6 +248,21 @@
     Ok((relayed, accounts))
 }
 
+/// Registers the metrics about evacuations.
+fn register_evacuations(registry: &Registry) -> Result<(IntGaugeVec, IntGauge), prometheus::Error> {
+    let evacuations = IntGaugeVec::new(
+        Opts::new("evacuations", "Evacuations of data centres"),
+        &["kind"],
+    )?;
+    let upstreams = IntGauge::new(
+        "upstreams_evacuated",
+        "Registered upstreams in evacuated data centres",
+    )?;
+    registry.register(Box::new(evacuations.clone()))?;
+    registry.register(Box::new(upstreams.clone()))?;
+    Ok((evacuations, upstreams))
+}
+
 /// Registers the metrics of what other routers send and can do.
 fn register_peers(registry: &Registry) -> Result<(IntCounterVec, IntGaugeVec), prometheus::Error> {
     let unreadable = register_counters(
--- a/tests/frame_values/mod.rs
+++ b/tests/frame_values/mod.rs
@@ -292,6 +292,7 @@
         store_era: STORE_ERA,
         base_revision: 87_000,
         versions: Some(VersionColumns::new(&gap_history(), NOW)),
+        evacuations: None,
     }
 }
 
--- a/tests/odd_frames.rs
+++ b/tests/odd_frames.rs
@@ -336,6 +336,7 @@
         store_era: numbers.1,
         base_revision: numbers.0,
         versions: frame.versions,
+        evacuations: Some(StoreStamp::new(numbers.1, numbers.0).into()),
     })
 }
 
@@ -558,6 +559,7 @@
             store_era,
             base_revision,
             versions: None,
+            evacuations: None,
         };
         let response = DocumentResponse::decode(&response.encode_to_vec()[..]).expect("a frame");
         let (stamp, base) = (response.store_stamp(), response.base());
