--- a/tests/store_codec/mod.rs
+++ b/tests/store_codec/mod.rs
@@ -1,7 +1,7 @@
 //! Documents of a store in tests: a configuration is the text of its version, and a key `up/ID` is
 //! the entry of upstream `ID`, which drains if its text is `draining`. A number after a `@` is the
 //! start of the upstream, a text after a `#` its version, which is `v1` otherwise, and a text after a
-//! `^` its address, which is its own otherwise.
+//! `^` its address, which is its own otherwise. A key `out/NAME` evacuates a data centre.
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use hawthornrouter::fleet::store_view::DocumentCodec;
 use hawthornrouter::fleet::upstream_entry::{ServingState, UpstreamEntry};
+use hawthornrouter::ids::DataCenterId;
 use hawthornrouter::route::{ConfigVersion, EdgeLimits, RouteTable, TableBuilder};
 use hawthornrouter::units::ByteSize;
 use xxhash_rust::xxh3::xxh3_64;
@@ -35,6 +36,11 @@
         let id = key.strip_prefix("up/")?;
         Some(entry(id, value))
     }
+
+    fn decode_evacuation(&self, key: &str) -> Option<anyhow::Result<DataCenterId>> {
+        let name = key.strip_prefix("out/")?;
+        Some(name.parse().map_err(anyhow::Error::from))
+    }
 }
 
 fn entry(id: &str, value: &Bytes) -> anyhow::Result<UpstreamEntry> {
