Keep changes of earlier eras among what peers are told

A router that was cut off while an evacuation was withdrawn and the store restored heard of the withdrawal only within a minute. The test of the metrics page gives the new metric a value.

--- a/src/fleet/evacuation_table.rs
+++ b/src/fleet/evacuation_table.rs
@@ -145,6 +145,7 @@
         self.ignored.len()
     }
 
+    /// Whether the last change is from before the store was restored.
     fn is_unlisted(&self, record: &EvacuationRecord) -> bool {
         record.stamp.era < self.stamp.era
     }
@@ -322,19 +323,18 @@
         is_changed
     }
 
-    /// The changes after `since`, for a peer that knows all up to it. Evacuations that a restored store
-    /// doesn't list are always among them: a peer that started later can't know them.
+    /// The changes after `since`, for a peer that knows all up to it. Those of earlier eras are always
+    /// among them: a restored store may have lost them, and a peer that started later can't know them.
     pub fn changes_since(&self, since: StoreStamp, now: MonoTime) -> Vec<StoreChange> {
         let is_full = since == StoreStamp::default();
-        let records = self
-            .records
-            .iter()
-            .filter(|(_, record)| match record.state {
-                EvacuationState::Set => record.stamp > since || self.is_unlisted(record) || is_full,
-                EvacuationState::Withdrawn { at, .. } => {
-                    record.stamp > since && (!is_full || now.since(at) <= WITHDRAWAL_SPAN)
-                }
-            });
+        let is_recent = |record: &EvacuationRecord| match record.state {
+            EvacuationState::Withdrawn { at, .. } if is_full => now.since(at) <= WITHDRAWAL_SPAN,
+            _ => true,
+        };
+        let records = self.records.iter().filter(|(_, record)| {
+            let is_newer = is_full || record.stamp > since;
+            self.is_unlisted(record) || (is_newer && is_recent(record))
+        });
         records
             .map(|(key, record)| match record.state {
                 // The key says all: the value is not kept.
--- a/tests/metrics_page.rs
+++ b/tests/metrics_page.rs
@@ -21,6 +21,7 @@
     metrics.relayed_accounts.with_label_values(&["a"]).inc();
     metrics.unreadable_frames.with_label_values(&["a"]).inc();
     metrics.routers_without.with_label_values(&["a"]).set(1);
+    metrics.evacuations.with_label_values(&["a"]).set(1);
     let text = String::from_utf8(metrics.text().expect("text")).expect("UTF-8");
     let served: BTreeSet<&str> = text
         .lines()
