Explain where a call would go now

hawthornctl choice asks the metrics listener of a router for the candidates of a call with their load, place in the order of preference, state and wait. The answer comes from the gates and the choice that calls use, and sends and counts nothing.

--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -4,6 +4,7 @@
 mod admin_call;
 pub mod capacity;
 pub mod check;
+mod choice;
 pub mod ctl;
 mod diff;
 mod drain;
--- a/src/cmd/admin_call.rs
+++ b/src/cmd/admin_call.rs
@@ -51,6 +51,13 @@
     serde_json::from_str(&text).map_err(|error| RouterError::Failed(format!("{admin}: {error}")))
 }
 
+/// Sends a GET request to a listener without tokens and parses the JSON response.
+pub fn get_open_json<T: DeserializeOwned>(listener: SocketAddr, path: &str) -> RouterResult<T> {
+    let request = ClientRequest::get(listener, path);
+    let text = System::new("hawthornctl", DefaultRuntime).block_on(send(listener, request))?;
+    serde_json::from_str(&text).map_err(|error| RouterError::Failed(format!("{listener}: {error}")))
+}
+
 async fn send(admin: SocketAddr, request: ClientRequest) -> RouterResult<String> {
     let failure = |text: String| RouterError::Failed(format!("{admin}: {text}"));
     let client = HttpClient::new(ClientLimits {
--- a/src/cmd/ctl.rs
+++ b/src/cmd/ctl.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use crate::cmd::{check, diff, drain, explain, pack, status, trace};
+use crate::cmd::{check, choice, diff, drain, explain, pack, status, trace};
 use crate::error::RouterResult;
-use crate::ids::{ChatId, ModelId, RevisionNumber};
+use crate::ids::{ChatId, ModelId, RevisionNumber, ServiceId};
 
 xflags::xflags! {
     /// Validates and packs configurations; inspects and drains routers.
@@ -53,6 +53,15 @@
             /// Id of the chat.
             required --chat chat: ChatId
         }
+        /// Show where a call would go now, and why. Nothing is sent to an upstream.
+        cmd choice {
+            /// Address of the router's metrics listener (IP:PORT).
+            required listener: SocketAddr
+            /// Name of the service.
+            required --service service: ServiceId
+            /// Parts of the prompt, as callers send them.
+            optional --prompt prompt: String
+        }
         /// Show the log lines of one request from several routers, in order of time.
         cmd trace {
             /// Id of the request.
@@ -84,6 +93,7 @@
         HawthornctlCmd::Explain(args) => {
             explain::run(args.admin, &args.token, &args.model, &args.chat)
         }
+        HawthornctlCmd::Choice(args) => choice::run(args.listener, args.service, args.prompt),
         HawthornctlCmd::Trace(args) => trace::run(&args.id, args.json, &args.files),
         HawthornctlCmd::Drain(args) => drain::run(args.admin, &args.token),
     }
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -33,6 +33,24 @@
     pub tokens: u32,
 }
 
+impl PromptPrefix {
+    /// The prefix of a prompt that other requests may share. It excludes the last part, unless that is
+    /// the only one.
+    pub fn shared(prompt: &[PromptPart]) -> Option<Self> {
+        let shared = match prompt.len() {
+            0 | 1 => prompt.len(),
+            count => count - 1,
+        };
+        let empty = Self { hash: 0, tokens: 0 };
+        let prefix = prompt[..shared].iter().fold(empty, |prefix, part| {
+            let hash = xxh3_64_with_seed(&part.hash.to_le_bytes(), prefix.hash);
+            let tokens = prefix.tokens.saturating_add(part.tokens);
+            Self { hash, tokens }
+        });
+        (shared > 0).then_some(prefix)
+    }
+}
+
 /// The head of a caller's request.
 #[derive(Clone, Debug)]
 pub struct CallHead {
@@ -106,17 +124,7 @@
     /// The prefix of the prompt that other requests may share. It excludes the last part, which
     /// belongs to the request or its chat, unless that is the only part.
     pub fn shared_prefix(&self) -> Option<PromptPrefix> {
-        let shared = match self.prompt.len() {
-            0 | 1 => self.prompt.len(),
-            count => count - 1,
-        };
-        let empty = PromptPrefix { hash: 0, tokens: 0 };
-        let prefix = self.prompt[..shared].iter().fold(empty, |prefix, part| {
-            let hash = xxh3_64_with_seed(&part.hash.to_le_bytes(), prefix.hash);
-            let tokens = prefix.tokens.saturating_add(part.tokens);
-            PromptPrefix { hash, tokens }
-        });
-        (shared > 0).then_some(prefix)
+        PromptPrefix::shared(&self.prompt)
     }
 }
 
@@ -229,6 +237,9 @@
         headers: &HeaderMap,
     ) -> Result<CallHead, HeadFault>;
 
+    /// Parses the parts of a prompt as callers send them; `None` if the text is not such a list.
+    fn read_prompt_parts(&self, text: &str) -> Option<Vec<PromptPart>>;
+
     /// Returns the id of a request for the log, or an empty text if it has none.
     fn request_id<'a>(&self, headers: &'a ntex::http::HeaderMap) -> &'a str;
 
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -7,6 +7,7 @@
 pub mod body_budget;
 mod call_relay;
 pub mod caller_connections;
+pub mod choice_explanation;
 mod choice_record;
 mod chunk_source;
 pub mod connection_headers;
--- a/src/forward/front_server.rs
+++ b/src/forward/front_server.rs
@@ -17,8 +17,9 @@
 use socket2::{Domain, Socket, Type};
 use tokio::net::TcpListener;
 
-use crate::dialect::{EdgeDialect, LocateRequest, LocateResponse};
+use crate::dialect::{EdgeDialect, LocateRequest, LocateResponse, PromptPrefix};
 use crate::error::{RouterError, RouterResult, StepName};
+use crate::forward::choice_explanation::{CHOICE_PATH, ChoiceQuestion};
 use crate::forward::front_handler::{FrontResponse, handle_call};
 use crate::forward::http_connection::set_socket_options;
 use crate::forward::relay_body::RelayBody;
@@ -254,9 +255,41 @@
             }
         };
     }
+    if path == CHOICE_PATH {
+        return choice_response(state, request.uri().query().unwrap_or_default());
+    }
     short_response(StatusCode::NOT_FOUND, Bytes::new(), "text/plain")
 }
 
+/// Explains where a call would go now.
+fn choice_response<D: EdgeDialect>(state: &Rc<TrafficState<D>>, query: &str) -> FrontResponse {
+    let failure = |status, reason: &'static str| {
+        short_response(status, Bytes::from_static(reason.as_bytes()), "text/plain")
+    };
+    let Some(table) = state.board.routes.load_full() else {
+        return failure(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet");
+    };
+    let Some(question) = ChoiceQuestion::read(query) else {
+        return failure(StatusCode::BAD_REQUEST, "no service");
+    };
+    let prompt = match question.prompt.as_str() {
+        "" => Some(Vec::new()),
+        text => state.dialect.read_prompt_parts(text),
+    };
+    let Some(prompt) = prompt else {
+        return failure(StatusCode::BAD_REQUEST, "no parts of a prompt");
+    };
+    if table.service(&question.service).is_none() {
+        return failure(StatusCode::NOT_FOUND, "unknown service");
+    }
+    let prompt = PromptPrefix::shared(&prompt);
+    let report = state.explain_choice(&table, &question.service, prompt);
+    match serde_json::to_vec(&report) {
+        Ok(body) => short_response(StatusCode::OK, Bytes::from(body), "application/json"),
+        Err(_) => failure(StatusCode::INTERNAL_SERVER_ERROR, "unexplained"),
+    }
+}
+
 /// Returns the addresses of routers that the caller may use.
 fn locate_response<D: EdgeDialect>(
     state: &Rc<TrafficState<D>>,
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -328,6 +328,13 @@
         })
     }
 
+    /// Returns the estimated number of open calls of all routers with a shared prompt part.
+    pub(super) fn open_calls(&self, prompt: u64) -> f64 {
+        let router_count = self.board.fleet_size.load(Ordering::Relaxed);
+        let prompt_load = self.prompt_load.borrow();
+        prompt_load.open_calls(prompt, router_count, self.now())
+    }
+
     /// Calls `work` with the rate limits and this router's place in the fleet.
     fn with_rate_limits<T, F>(&self, work: F) -> T
     where
@@ -343,7 +350,7 @@
     }
 
     /// Returns what upstreams, their entries and other routers have said about taking requests.
-    fn statement_gate(&self) -> StatementGate<'_> {
+    pub(super) fn statement_gate(&self) -> StatementGate<'_> {
         StatementGate {
             leaving: self.board.leaving_upstreams(),
             waits: self.waits.borrow(),
@@ -353,7 +360,7 @@
     }
 
     /// Returns this router's shares of the limits that upstreams set.
-    fn rate_gate(&self) -> RateGate<'_> {
+    pub(super) fn rate_gate(&self) -> RateGate<'_> {
         RateGate {
             limits: self.board.rate_limits(),
             routers: self.board.serving_routers.load_full(),
@@ -432,7 +439,7 @@
         }
     }
 
-    fn candidates(
+    pub(super) fn candidates(
         &self,
         table: &RouteTable,
         service: &ServiceId,
--- a/src/policy/upstream_choice.rs
+++ b/src/policy/upstream_choice.rs
@@ -178,6 +178,14 @@
         .map(|(_, index)| index)
 }
 
+/// Returns the indexes of all upstreams in the order in which a prompt prefers them.
+pub fn preference_order(options: &[UpstreamCandidate], prompt: u64) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..options.len()).collect();
+    let score = |index: usize| rendezvous_score(&options[index], prompt);
+    order.sort_by(|&left, &right| score(right).total_cmp(&score(left)));
+    order
+}
+
 /// Returns the weighted rendezvous score of an upstream. The upstream with the highest score is the
 /// preferred one, and the number of prompts that prefer an upstream is proportional to its slots.
 fn rendezvous_score(option: &UpstreamCandidate, prompt: u64) -> f64 {
