Read all figures of load reports and the hints of callers

Load reports carry the slots and the pace of a host besides the running and waiting calls, and were read up to the second figure. Read all four; a malformed figure leaves the others in effect. Read the token usage and the length hint of calls into typed fields.

Heartbeats do not pass slots and pace on: with 200 routers they take 4,999 of 5,000 bytes a second (member_table heartbeats_stay_within_byte_budget), and a pace is outdated before it has reached the fleet.

--- a/src/bench/affinity_sim.rs
+++ b/src/bench/affinity_sim.rs
@@ -327,7 +327,7 @@
     fn first_event(&mut self, call: SimCall, now: MonoTime) {
         let load = LoadReport {
             running: self.loads[call.upstream],
-            waiting: 0,
+            ..LoadReport::default()
         };
         let router = &mut self.routers[call.router];
         router.stats[call.upstream].record_report(load, now);
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -13,7 +13,7 @@
 
 use crate::ids::{AccountId, CallTag, DataCenterId, PartTag, StreamTag, UpstreamId};
 use crate::route::PriorityRank;
-use crate::units::{RequestRate, RetryDelay};
+use crate::units::{RequestRate, RetryDelay, WorkPace};
 
 /// One part of a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -51,6 +51,15 @@
     }
 }
 
+/// The tokens of a call, as its caller counts them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TokenUsage {
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Maximum number of tokens of the response.
+    pub max_output: u32,
+}
+
 /// The head of a caller's request.
 #[derive(Clone, Debug)]
 pub struct CallHead {
@@ -69,6 +78,11 @@
     /// Parts of the prompt in order. If there are several, the last one belongs to this request or
     /// its chat only.
     pub prompt: Vec<PromptPart>,
+    /// The tokens of the call; `None` if the caller stated none that can be read.
+    pub usage: Option<TokenUsage>,
+    /// Tokens that the caller expects in the response; `None` if it stated no number. Accurate at the
+    /// median, and often far off.
+    pub length_hint: Option<u32>,
     /// Last event that the caller received of an interrupted response; `None` for a new call.
     pub resume_after: Option<u64>,
     /// Id of the request that brought the first event of the interrupted response.
@@ -165,12 +179,18 @@
 }
 
 /// Load of an upstream, as the upstream reports it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LoadReport {
     /// Number of running calls.
     pub running: u32,
     /// Number of queued calls.
     pub waiting: u32,
+    /// Number of calls that the upstream runs at a time; `None` if the report does not say, or was
+    /// passed on by another router.
+    pub slots: Option<u32>,
+    /// How long work takes there now; `None` if the report does not say, or was passed on by another
+    /// router.
+    pub pace: Option<WorkPace>,
 }
 
 impl LoadReport {
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -136,7 +136,13 @@
         let reports = self.tags.iter().zip(loads).zip(&self.ages);
         reports.map(move |((&tag, (&running, &waiting)), &age)| UpstreamLoad {
             upstream: UpstreamTag(tag),
-            load: LoadReport { running, waiting },
+            // Heartbeats are at their limit of bytes, and a pace is outdated before it has reached the
+            // fleet.
+            load: LoadReport {
+                running,
+                waiting,
+                ..LoadReport::default()
+            },
             at: now.saturating_sub(Duration::from_millis(LOAD_AGE_MS * u64::from(age))),
         })
     }
--- a/src/units.rs
+++ b/src/units.rs
@@ -239,3 +239,43 @@
 }
 
 serde_as_text!(RequestRate);
+
+/// The time that work takes on a host now, in per cent of the usual time.
+///
+/// Invariant: from 1 to [`WorkPace::MAX`].
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct WorkPace(u16);
+
+impl WorkPace {
+    /// Work takes its usual time.
+    pub const USUAL: Self = Self(100);
+
+    /// Slowest pace that counts; a larger number counts as this one.
+    pub const MAX: Self = Self(2000);
+
+    /// Returns the time that work takes, relative to the usual time.
+    pub fn factor(self) -> f64 {
+        f64::from(self.0) / 100.0
+    }
+}
+
+impl fmt::Display for WorkPace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for WorkPace {
+    type Err = ValueError;
+
+    fn from_str(text: &str) -> Result<Self, ValueError> {
+        let percent: Option<f64> = text.trim().parse().ok();
+        percent
+            .filter(|percent| percent.is_finite() && *percent >= 1.0)
+            .map(|percent| Self(percent.min(f64::from(Self::MAX.0)) as u16))
+            .ok_or_else(|| ValueError::new(text, "a positive number of per cent, such as 250"))
+    }
+}
+
+serde_as_text!(WorkPace);
--- a/tests/call_tag.rs
+++ b/tests/call_tag.rs
@@ -15,6 +15,8 @@
         timeout: None,
         key: None,
         prompt: Vec::new(),
+        usage: None,
+        length_hint: None,
         resume_after: None,
         resumes: None,
         is_relayed: false,
--- a/tests/crash_fleet/fleet/router.rs
+++ b/tests/crash_fleet/fleet/router.rs
@@ -186,9 +186,12 @@
             let open = open as u32;
             let running = open.min(SLOTS);
             let waiting = open - running;
-            known
-                .stats
-                .record_report(LoadReport { running, waiting }, now);
+            let report = LoadReport {
+                running,
+                waiting,
+                ..LoadReport::default()
+            };
+            known.stats.record_report(report, now);
         }
     }
 
--- a/tests/frame_values/mod.rs
+++ b/tests/frame_values/mod.rs
@@ -78,7 +78,11 @@
 pub fn loads() -> Vec<UpstreamLoad> {
     let load = |tag, running, waiting, age_ms| UpstreamLoad {
         upstream: UpstreamTag(tag),
-        load: LoadReport { running, waiting },
+        load: LoadReport {
+            running,
+            waiting,
+            ..LoadReport::default()
+        },
         at: before(age_ms),
     };
     vec![load(u32::MAX, 64, 0, 0), load(7, 300, 12, 1270)]
--- a/tests/many_routers.rs
+++ b/tests/many_routers.rs
@@ -89,7 +89,7 @@
         upstream: UpstreamTag(7),
         load: LoadReport {
             running,
-            waiting: 0,
+            ..LoadReport::default()
         },
         at: MonoTime(Duration::from_millis(at)),
     };
--- a/tests/member_table.rs
+++ b/tests/member_table.rs
@@ -219,6 +219,7 @@
                 load: LoadReport {
                     running: 64,
                     waiting: 200,
+                    ..LoadReport::default()
                 },
                 at: fleet.now.saturating_sub(Duration::from_millis(500)),
             });
--- a/tests/odd_frames.rs
+++ b/tests/odd_frames.rs
@@ -646,7 +646,11 @@
     let now = MonoTime(Duration::from_secs(5));
     let report = |tag, running, waiting| UpstreamLoad {
         upstream: UpstreamTag(tag),
-        load: LoadReport { running, waiting },
+        load: LoadReport {
+            running,
+            waiting,
+            ..LoadReport::default()
+        },
         at: now,
     };
     let mut loads = LatestLoads::default();
