Keep calls with long prompts at their upstreams on shared hosts

Cause: on the lending workload most shared parts were read again without need. Change: on services whose upstreams tell a pace, the silence limit covers the reading of the prompt, and the load of an upstream without a report follows from the mean over the service (policy/own_call_rate.rs). Others are served as before.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -23,6 +23,7 @@
 pub mod http_connection;
 mod relay_body;
 pub mod relay_progress;
+mod service_load;
 mod spliced_head;
 pub mod traffic_state;
 mod upstream_gates;
--- a/src/forward/front_call.rs
+++ b/src/forward/front_call.rs
@@ -245,7 +245,7 @@
         F: Future<Output = Result<UpstreamResponse<D>, AttemptFault>>,
         M: Fn(UpstreamAttempt<D>) -> F,
     {
-        let limits = WaitLimits::for_first_response(&self.plan.route);
+        let limits = self.first_response_limits();
         loop {
             let record = Rc::clone(&running.record);
             self.latest = Some(Rc::clone(&record));
@@ -266,6 +266,17 @@
         }
     }
 
+    fn first_response_limits(&self) -> WaitLimits {
+        let limits = WaitLimits::for_first_response(&self.plan.route);
+        if self.prompt.is_some() && self.state.shares_hosts(&self.service) {
+            let parts = self.plan.head.prompt.iter();
+            let tokens = parts.fold(0, |sum: u32, part| sum.saturating_add(part.tokens));
+            limits.with_prompt(tokens)
+        } else {
+            limits
+        }
+    }
+
     /// Records that the response of an attempt goes to the caller.
     fn receive(
         &mut self,
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -22,6 +22,7 @@
 use crate::forward::body_budget::BodyBudget;
 use crate::forward::caller_connections::CallerConnections;
 use crate::forward::connection_pool::ConnectionPool;
+use crate::forward::service_load::ServiceLoad;
 use crate::forward::upstream_gates::{ConnectionGate, RateGate, StatementGate, TriedGate};
 use crate::forward::upstream_response::CallPlan;
 use crate::forward_board::ForwardBoard;
@@ -94,6 +95,8 @@
     pub board: Arc<ForwardBoard>,
     pub clock: ProcessClock,
     pub telemetry: PrometheusMetrics,
+    /// What is known of services beyond single upstreams.
+    pub(super) service_loads: RefCell<HashMap<ServiceId, ServiceLoad>>,
     /// Idle connections to upstreams.
     pub pool: RefCell<ConnectionPool>,
     pub callers: Rc<CallerConnections>,
@@ -198,6 +201,7 @@
             board,
             clock,
             telemetry,
+            service_loads: RefCell::default(),
             pool: RefCell::default(),
             callers,
             body_budget: BodyBudget::default(),
@@ -453,6 +457,8 @@
         let upstream_stats = self.upstream_stats.borrow();
         let no_stats = UpstreamStats::default();
         let stats_of = |key: UpstreamKey| upstream_stats.get(&key).unwrap_or(&no_stats);
+        let all_stats = members.iter().map(|entry| stats_of(entry.id.key()));
+        let mean_own_calls = self.mean_own_calls(service, all_stats, now);
         let failure_shares: f64 = members
             .iter()
             .map(|entry| stats_of(entry.id.key()).health.failure_share(now))
@@ -490,7 +496,10 @@
                 UpstreamCandidate {
                     key,
                     slots: entry.slots,
-                    load: stats.load(router_count, now),
+                    load: match mean_own_calls {
+                        Some(mean) => stats.load_by_mean(mean, router_count, now),
+                        None => stats.load(router_count, now),
+                    },
                     own_calls: stats.own_calls,
                     is_reported: stats.is_reported(now),
                     is_local: entry.data_center == settings.data_center,
@@ -881,6 +890,7 @@
         set_count(&self.telemetry.upstreams_limited, rate_limits.limited());
         drop(rate_limits);
         self.prompt_load.borrow_mut().remove_idle(self.now());
+        self.sweep_service_loads(&upstreams);
         if let Some(table) = self.board.routes.load_full() {
             let known: HashSet<RouteKey> = table.route_keys().collect();
             let mut call_times = self.call_times.borrow_mut();
--- a/src/forward/wait_limits.rs
+++ b/src/forward/wait_limits.rs
@@ -14,6 +14,10 @@
 /// of another call, an upstream may send nothing for this long.
 const MIN_SILENT_LIMIT: Duration = Duration::from_millis(250);
 
+/// Tokens of a prompt that an upstream on a shared host reads per millisecond while its host is slow,
+/// a third of the usual speed of model engines.
+const SLOW_PREFILL_TOKENS_PER_MS: f64 = 20.0;
+
 /// Multiple of the target time after which the wait for a response other than a stream ends, if the
 /// call may be repeated at another upstream.
 const FULL_RESPONSE_TARGET_MULTIPLE: f64 = 2.0;
@@ -58,6 +62,18 @@
         }
     }
 
+    /// Extends the limits of a first response by the time that an upstream on a shared host may take to
+    /// read the prompt. A replacement would read all of it again, and the upstream is only slow.
+    #[must_use]
+    pub fn with_prompt(self, prompt_tokens: u32) -> Self {
+        let prefill_ms = f64::from(prompt_tokens) / SLOW_PREFILL_TOKENS_PER_MS;
+        let prefill = Duration::from_secs_f64(prefill_ms / 1000.0);
+        Self {
+            silent: self.silent.max(prefill.min(self.active)),
+            ..self
+        }
+    }
+
     /// Limits of the wait for the next event of a stream.
     pub fn for_next_event(route: &RouteRule) -> Self {
         let gap = route.gap_target.unwrap_or(DEFAULT_GAP_TARGET);
--- a/src/policy/upstream_stats.rs
+++ b/src/policy/upstream_stats.rs
@@ -4,6 +4,7 @@
 
 use crate::dialect::LoadReport;
 use crate::mono::MonoTime;
+use crate::policy::own_call_rate::estimate_calls;
 use crate::policy::upstream_health::UpstreamHealth;
 
 /// Age after which a load report is disregarded and the load is estimated from this router's own
@@ -59,6 +60,21 @@
         }
     }
 
+    /// Estimates the calls that the upstream has, as [`Self::load`] does. Without a recent report, it
+    /// follows from `mean`, the calls of this router per upstream of the service.
+    pub fn load_by_mean(&self, mean: f64, routers: usize, now: MonoTime) -> f64 {
+        if self.is_reported(now) {
+            self.load(routers, now)
+        } else {
+            estimate_calls(self.own_calls, mean, routers)
+        }
+    }
+
+    /// Returns whether the upstream has said at which pace its host works.
+    pub fn tells_pace(&self) -> bool {
+        self.report.is_some_and(|report| report.load.pace.is_some())
+    }
+
     /// Returns whether the upstream's last report, if recent, shows waiting calls.
     pub fn is_queued(&self, now: MonoTime) -> bool {
         self.recent_report(now)
