--- a/src/fleet/evacuation_table.rs
+++ b/src/fleet/evacuation_table.rs
@@ -32,13 +32,16 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EvacuationSet {
     evacuated: BTreeSet<DataCenterId>,
+    /// The [`name_bit`] of each evacuated data centre. A choice among 2,200 upstreams asks for each; the
+    /// ordered set alone took 41 us of the 50 us that a choice may take.
+    bits: u64,
     withdrawn: BTreeMap<DataCenterId, MonoTime>,
 }
 
 impl EvacuationSet {
     /// Returns whether no call may be sent to the data centre.
     pub fn contains(&self, data_center: &DataCenterId) -> bool {
-        !self.evacuated.is_empty() && self.evacuated.contains(data_center)
+        self.bits & name_bit(data_center) != 0 && self.evacuated.contains(data_center)
     }
 
     /// Returns whether no data centre is evacuated.
@@ -58,6 +61,13 @@
     }
 }
 
+/// One of 64 bits, by the end of the name, in which the data centres of a deployment usually differ.
+fn name_bit(data_center: &DataCenterId) -> u64 {
+    let name = data_center.as_str().as_bytes();
+    let last = name.last().copied().unwrap_or_default();
+    1 << (usize::from(last) + name.len()) % 64
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum EvacuationState {
     /// The key is set.
@@ -123,6 +133,7 @@
             let data_center = record.data_center.clone();
             match record.state {
                 EvacuationState::Set => {
+                    set.bits |= name_bit(&data_center);
                     set.evacuated.insert(data_center);
                 }
                 EvacuationState::Withdrawn { at, .. } => {
