--- a/src/fleet/evacuation_table.rs
+++ b/src/fleet/evacuation_table.rs
@@ -65,7 +65,7 @@
 fn name_bit(data_center: &DataCenterId) -> u64 {
     let name = data_center.as_str().as_bytes();
     let last = name.last().copied().unwrap_or_default();
-    1 << (usize::from(last) + name.len()) % 64
+    1 << ((usize::from(last) + name.len()) % 64)
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
