Decide which upstreams are cold and which routers may call them

An upstream that starts during traffic looks idle, and all routers together send it more than it takes before its entry says that it is cold.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -184,6 +184,18 @@
     Unreadable,
 }
 
+/// What an upstream's response says about how long the upstream is cold.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ColdStatement {
+    /// It says nothing.
+    #[default]
+    Silent,
+    /// The upstream is cold for this time; zero if it is not.
+    For(Duration),
+    /// The statement can't be read.
+    Unreadable,
+}
+
 /// What the headers of an upstream's response contain.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseHead {
@@ -201,6 +213,7 @@
     /// How long the upstream wants no requests from this router, if it turned this one away with
     /// status 503.
     pub retry_after: Option<RetryDelay>,
+    pub cold: ColdStatement,
 }
 
 /// A caller's request for router addresses.
--- a/src/policy/rate_limits.rs
+++ b/src/policy/rate_limits.rs
@@ -140,14 +140,16 @@
     let limit = limit.get();
     let others = (limit / MIN_SHARE_PER_S) as usize;
     let sharing = place.size.max(1).min(others.saturating_add(1));
+    (limit > 0.0 && share_rank(upstream, place) < sharing).then(|| limit / sharing as f64)
+}
+
+/// Returns the number of routers that come before this one in the rendezvous order of an upstream.
+pub(crate) fn share_rank(upstream: UpstreamTag, place: FleetPlace<'_>) -> usize {
     let score = |address: Ipv4Addr| {
         let seed = u64::from(upstream.0);
         (xxh3_64_with_seed(&address.octets(), seed), address)
     };
     let own = score(place.own);
-    let before = place
-        .routers
-        .iter()
-        .filter(|router| score(router.address) > own);
-    (limit > 0.0 && before.count() < sharing).then(|| limit / sharing as f64)
+    let routers = place.routers.iter();
+    routers.filter(|router| score(router.address) > own).count()
 }
--- a/src/route/route_table.rs
+++ b/src/route/route_table.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 
 use crate::ids::{AccountId, RouteKey, ServiceId};
-use crate::route::{CallKind, EdgeLimits, PriorityRank, RouteProblem, RouteRule, TableFault};
+use crate::route::{
+    CallKind, ColdTerms, EdgeLimits, PriorityRank, RouteProblem, RouteRule, TableFault,
+};
 
 /// Version number of a configuration; a larger one is newer.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -30,6 +32,8 @@
     /// Rate at which an upstream copies prompt tokens from the cache of another, in tokens per
     /// millisecond; 0 if the upstreams can't copy.
     pub copied_tokens_per_ms: f64,
+    /// How upstreams behave after their start; `None` if they take calls as always.
+    pub cold: Option<ColdTerms>,
 }
 
 /// The permissions of an API key.
--- a/tests/route_table.rs
+++ b/tests/route_table.rs
@@ -113,6 +113,7 @@
         service: "known".parse().unwrap(),
         max_connections: 1,
         copied_tokens_per_ms: 0.0,
+        cold: None,
     };
     let mut idle = rule("a.example", "/idle/", &[("known", 1)]);
     idle.time_limit = Duration::ZERO;
