Hold calls to cold upstreams back when they are chosen and when they are written

The gates of a routing decision now include the shares of cold upstreams, the last check before a call is written takes a share if the upstream became cold since, and routers announce cold upstreams to each other in a new column of heartbeats.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -9,6 +9,7 @@
 pub mod caller_connections;
 mod choice_record;
 mod chunk_source;
+mod cold_calls;
 pub mod connection_headers;
 mod connection_pool;
 pub mod event_batch;
--- a/src/forward/front_call/upstream_attempt.rs
+++ b/src/forward/front_call/upstream_attempt.rs
@@ -94,7 +94,7 @@
     /// Sends the call to the upstream and reads the full response, or the first events of a stream.
     pub async fn respond(self) -> Result<UpstreamResponse<D>, AttemptFault> {
         let mut connection = self.acquire_connection().await?;
-        if self.state.declines(&self.guard.entry) {
+        if self.state.declines(&self.guard.entry) || !self.state.may_write(&self.guard) {
             return Err(AttemptFault::Unsent);
         }
         let request = self.build_request()?;
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -135,6 +135,8 @@
     prompt_hash: Option<u64>,
     /// Upstream from whose cache the chosen one can copy the shared prompt part.
     pub cache_source: Option<SocketAddr>,
+    /// Whether the call took a share of the rate of a cold upstream.
+    pub took_cold_share: bool,
     started: MonoTime,
     state: Rc<TrafficState<D>>,
 }
@@ -323,6 +325,7 @@
             load: candidates[index].load,
             prompt_hash: prompt.map(|prefix| prefix.hash),
             cache_source: copy_source.map(|source| members[source].address),
+            took_cold_share: self.take_cold_share(key),
             started: now,
             state: Rc::clone(self),
         })
@@ -387,10 +390,12 @@
             return None;
         }
         let rates = self.rate_gate();
+        let cold = self.cold_gate();
         let openings = members.iter().map(|entry| match statements.opening(entry) {
             UpstreamOpening::After(wait) => {
                 let limit_wait = rates.wait(entry).unwrap_or(OTHER_ROUTER_WAIT);
-                UpstreamOpening::After(wait.max(limit_wait))
+                let cold_wait = cold.wait(entry).unwrap_or_else(|until| until);
+                UpstreamOpening::After(wait.max(limit_wait).max(cold_wait))
             }
             UpstreamOpening::Never => UpstreamOpening::Never,
         });
@@ -399,19 +404,21 @@
     }
 
     /// Returns the time until a limit of an upstream of `service` allows another request, or `None`
-    /// if none of them sets a limit.
+    /// if none of them sets a limit or is cold.
     pub fn limit_wait(&self, service: &ServiceId) -> Option<Duration> {
         let now = self.now();
         let upstreams = self.board.upstreams.load();
         let members = upstreams.iter().filter(|entry| entry.service == *service);
-        self.with_rate_limits(|limits, place| {
+        let limit_wait = self.with_rate_limits(|limits, place| {
             let tags = members.map(|entry| UpstreamTag::from(entry.id.key()));
             let limited = tags.filter(|&tag| limits.limit(tag).is_some());
             let waits = limited.map(|tag| limits.wait(tag, place, now));
             waits
                 .map(|wait| wait.unwrap_or(OTHER_ROUTER_WAIT).max(MIN_LIMIT_WAIT))
                 .min()
-        })
+        });
+        let cold_wait = self.cold_wait(service);
+        limit_wait.into_iter().chain(cold_wait).min()
     }
 
     /// Merges the load reports that other routers received from upstreams.
@@ -457,7 +464,10 @@
         };
         let gates = (
             self.statement_gate(),
-            (TriedGate { excluded }, (self.rate_gate(), connections)),
+            (
+                TriedGate { excluded },
+                (self.rate_gate(), (self.cold_gate(), connections)),
+            ),
         );
         members
             .iter()
@@ -717,6 +727,7 @@
                 at: now,
             });
         }
+        self.record_cold(entry, head.cold);
         self.record_statements(entry, head);
     }
 
@@ -815,6 +826,7 @@
         let health = &mut upstream_stats.entry(upstream).or_default().health;
         health.record_fault(fault, silent, now);
         drop(upstream_stats);
+        self.record_cold_failure(upstream, fault);
         if matches!(
             fault,
             AttemptFault::Unreachable | AttemptFault::Refused | AttemptFault::Silent
--- a/src/forward/upstream_gates.rs
+++ b/src/forward/upstream_gates.rs
@@ -9,6 +9,7 @@
 use crate::fleet::upstream_entry::{ServingState, UpstreamEntry};
 use crate::ids::UpstreamKey;
 use crate::mono::MonoTime;
+use crate::policy::cold_upstreams::{ColdPlace, ColdUpstreams};
 use crate::policy::gone_starts::GoneStarts;
 use crate::policy::leaving_upstreams::LeavingUpstreams;
 use crate::policy::locate_choice::RouterPlace;
@@ -94,6 +95,28 @@
     }
 }
 
+/// This router's shares of the rates of cold upstreams.
+pub struct ColdGate<'a> {
+    pub cold: MutexGuard<'a, ColdUpstreams>,
+    pub place: ColdPlace,
+    pub now: MonoTime,
+}
+
+impl ColdGate<'_> {
+    /// Returns the time until this router may call the upstream, or `Err` with the time until it may
+    /// have a share.
+    pub fn wait(&self, entry: &UpstreamEntry) -> Result<Duration, Duration> {
+        self.cold.wait(entry.id.key().into(), self.place, self.now)
+    }
+}
+
+impl UpstreamGate for ColdGate<'_> {
+    fn check(&self, entry: &UpstreamEntry) -> Option<GateReason> {
+        let wait = self.wait(entry);
+        (wait != Ok(Duration::ZERO)).then_some(GateReason::Cold(wait.ok()))
+    }
+}
+
 /// This router's share of the connections to each upstream.
 pub struct ConnectionGate<'a> {
     pub stats: &'a HashMap<UpstreamKey, UpstreamStats>,
--- a/src/forward_board.rs
+++ b/src/forward_board.rs
@@ -13,6 +13,8 @@
 use crate::fleet::version_history::VersionHistory;
 use crate::forward_settings::ForwardSettings;
 use crate::ids::IncarnationId;
+use crate::policy::cold_upstreams::ColdUpstreams;
+use crate::policy::known_routers::FleetContact;
 use crate::policy::latest_loads::LatestLoads;
 use crate::policy::leaving_upstreams::LeavingUpstreams;
 use crate::policy::locate_choice::RouterPlace;
@@ -66,6 +68,9 @@
     pub serving_routers: ArcSwap<Vec<RouterPlace>>,
     /// The runs of this router and of the others that are up.
     pub incarnations: ArcSwap<BTreeMap<Ipv4Addr, IncarnationId>>,
+    /// Fields of the [`FleetContact`] of this router.
+    is_settled: AtomicBool,
+    is_isolated: AtomicBool,
     /// Upper estimate of the number of routers.
     pub fleet_size: AtomicUsize,
     /// Time up to which this router has all changes of the store, in milliseconds of the process's
@@ -92,6 +97,7 @@
     store_checks: Mutex<StoreChecks>,
     suspects: Mutex<SuspectWork>,
     rate_limits: Mutex<RateLimits>,
+    cold_upstreams: Mutex<ColdUpstreams>,
     leaving_upstreams: Mutex<LeavingUpstreams>,
     stage: AtomicU8,
 }
@@ -120,6 +126,9 @@
             store_checks: Mutex::default(),
             suspects: Mutex::default(),
             rate_limits: Mutex::default(),
+            cold_upstreams: Mutex::default(),
+            is_settled: AtomicBool::new(false),
+            is_isolated: AtomicBool::new(false),
             leaving_upstreams: Mutex::default(),
             stage: AtomicU8::new(ForwardStage::Booting as u8),
         }
@@ -169,6 +178,27 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the cold times of upstreams. Both threads keep the lock only briefly.
+    pub fn cold_upstreams(&self) -> MutexGuard<'_, ColdUpstreams> {
+        self.cold_upstreams
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns what this router can tell about its place in the fleet.
+    pub fn contact(&self) -> FleetContact {
+        FleetContact {
+            is_settled: self.is_settled.load(Ordering::Relaxed),
+            is_isolated: self.is_isolated.load(Ordering::Relaxed),
+        }
+    }
+
+    pub fn set_contact(&self, contact: FleetContact) {
+        self.is_settled.store(contact.is_settled, Ordering::Relaxed);
+        self.is_isolated
+            .store(contact.is_isolated, Ordering::Relaxed);
+    }
+
     /// Locks the upstreams that have said that they leave. Both threads keep the lock only briefly.
     pub fn leaving_upstreams(&self) -> MutexGuard<'_, LeavingUpstreams> {
         self.leaving_upstreams
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -1,6 +1,7 @@
 //! State of the control thread of a forwarding router: the last known documents of the store, the
 //! membership table, and the stage that follows from them.
 
+mod cold_starts;
 mod fresh_reads;
 mod past_versions;
 mod peer_documents;
@@ -33,6 +34,7 @@
 use crate::ids::IncarnationId;
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::mono::{MonoTime, ProcessClock};
+use crate::policy::known_routers::KnownRouters;
 use crate::policy::leaving_upstreams::{LeavingChange, MARK_ROUNDS, MAX_NOTICE_MARKS};
 use crate::policy::locate_choice::RouterPlace;
 use crate::policy::stop_admission::StopPlan;
@@ -75,6 +77,7 @@
     store_view: StoreView<C>,
     members: MemberTable,
     facts: FactTable,
+    known_routers: KnownRouters,
     store_role: StoreRole,
     fetch_plan: FetchPlan,
     /// When the store last delivered anything, or when the process started.
@@ -141,6 +144,7 @@
             store_view,
             members: MemberTable::new(own, seeds),
             facts: FactTable::default(),
+            known_routers: KnownRouters::default(),
             store_role: StoreRole::new(apply_limit),
             fetch_plan: FetchPlan::default(),
             store_active: now,
@@ -247,10 +251,11 @@
         let stamp = self.store_view.stamp();
         let suspects = self.board.suspects().take_notice();
         let leaving = self.board.leaving_upstreams().take_notice();
-        if stamp <= self.noticed && suspects.is_empty() && leaving.is_empty() {
+        let now = self.now();
+        let cold = self.board.cold_upstreams().take_notice(now);
+        if stamp <= self.noticed && suspects.is_empty() && leaving.is_empty() && cold.is_empty() {
             return None;
         }
-        let now = self.now();
         let mut frame = self.notice_frame(now);
         let mut targets = Vec::new();
         if stamp > self.noticed {
@@ -261,7 +266,8 @@
             frame.suspects = Some(SuspectColumns::new(&suspects, suspect_time(now)));
         }
         frame.set_leaving(&leaving, now);
-        if !suspects.is_empty() || !leaving.is_empty() {
+        frame.set_cold(&cold);
+        if !suspects.is_empty() || !leaving.is_empty() || !cold.is_empty() {
             targets.extend(self.members.any_targets(now, &mut rand::rng()));
         }
         let targets = targets
@@ -330,6 +336,7 @@
                 leaving.merge(report, sender.address, now);
             }
         }
+        self.merge_cold(frame.cold.as_ref(), now);
         let objections = frame.suspects.as_ref().map(|columns| {
             let reports = columns.reports(suspect_time(now));
             self.board.suspects().merge(&reports, suspect_time(now))
@@ -374,6 +381,9 @@
         } else {
             self.notice_frame(now)
         };
+        if new {
+            reply.set_cold(&self.board.cold_upstreams().reports(now));
+        }
         if !new && let Some(objections) = objections {
             reply.suspects = Some(SuspectColumns::new(&objections, suspect_time(now)));
         }
@@ -480,6 +490,7 @@
         if effect.config
             && let Some(config) = self.store_view.config()
         {
+            self.report_cold_faults(&config.table);
             self.board.routes.store(Some(Arc::clone(&config.table)));
         }
         if effect.upstreams {
@@ -488,10 +499,13 @@
                 .store(Arc::new(self.store_view.upstreams()));
             self.publish_versions(self.now());
         }
+        if effect.upstreams || effect.config {
+            self.observe_cold(self.now());
+        }
         self.update_stage();
     }
 
-    fn publish_members(&self, now: MonoTime) {
+    fn publish_members(&mut self, now: MonoTime) {
         let live = self.members.live(now);
         let serving = |record: &&MemberRecord| record.stage == MemberStage::Serving;
         let routers: Vec<RouterPlace> = live
@@ -513,6 +527,7 @@
         self.board.lag_ms.store(lag_ms, Ordering::Relaxed);
         let fleet = self.members.fleet_size();
         self.board.fleet_size.store(fleet, Ordering::Relaxed);
+        self.publish_known(&live, fleet, now);
         set_count(&self.telemetry.routers, live.len());
         let own = self.members.own().address;
         let others = live.iter().filter(|record| record.address != own);
@@ -580,6 +595,7 @@
         self.publish(effect);
         self.update_suspects(suspect_time(now));
         self.update_leaving(now);
+        self.update_cold(now);
         self.publish_versions(now);
         self.search_parts(now);
         let targets = self.members.begin_round(now, &mut rand::rng());
@@ -758,6 +774,7 @@
             seeds: settings.seeds,
             affinity_bound: settings.affinity_bound,
             retry: settings.retry,
+            cold_bound: settings.cold_bound,
             apply_limit: settings.apply_limit,
             stop_grace: settings.stop_grace,
             drain_time: settings.drain_time,
--- a/src/forward_settings.rs
+++ b/src/forward_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::{DataCenterId, VmId};
+use crate::policy::cold_upstreams::ColdBound;
 use crate::policy::retry_window::RetryTerms;
 use crate::policy::upstream_choice::AffinityBound;
 
@@ -38,6 +39,8 @@
     pub affinity_bound: AffinityBound,
     /// Limits on retries, shared by all routers.
     pub retry: RetryTerms,
+    /// What cold upstreams may get beyond their rate.
+    pub cold_bound: ColdBound,
     /// Time within which a change in the store must apply.
     pub apply_limit: Duration,
     /// Time between the stop signal and the forced end of the process.
--- a/src/gossip/frames.rs
+++ b/src/gossip/frames.rs
@@ -18,6 +18,7 @@
     UpstreamStart, VersionTag,
 };
 use crate::mono::MonoTime;
+use crate::policy::cold_upstreams::ColdReport;
 use crate::policy::latest_loads::{MAX_HEARTBEAT_REPORTS, UpstreamLoad, UpstreamTag};
 use crate::policy::leaving_upstreams::LeavingReport;
 use crate::policy::rate_limits::RateReport;
@@ -353,6 +354,46 @@
     }
 }
 
+/// Cold upstreams in a heartbeat. Each has the same index in all columns.
+#[derive(Clone, PartialEq, Message)]
+pub struct ColdColumns {
+    /// Shortened keys of the upstreams, see [`UpstreamTag`].
+    #[prost(fixed32, repeated, tag = "1")]
+    pub tags: Vec<u32>,
+    /// Remaining cold times in units of [`REPORT_AGE_MS`], doubled; odd if the upstream is known to
+    /// be up.
+    #[prost(uint32, repeated, tag = "2")]
+    pub remaining: Vec<u32>,
+}
+
+impl ColdColumns {
+    /// Converts reports to columns.
+    pub fn new(reports: &[ColdReport]) -> Self {
+        let remaining = |report: &ColdReport| {
+            let units = report.remaining.as_millis().div_ceil(REPORT_AGE_MS.into());
+            let units = u32::try_from(units)
+                .unwrap_or(u32::MAX / 2)
+                .min(u32::MAX / 2);
+            units * 2 + u32::from(report.is_up)
+        };
+        Self {
+            tags: reports.iter().map(|report| report.upstream.0).collect(),
+            remaining: reports.iter().map(remaining).collect(),
+        }
+    }
+
+    /// Converts the columns to reports, as statements of the time `now`.
+    pub fn reports(&self, now: MonoTime) -> impl Iterator<Item = ColdReport> {
+        let reports = self.tags.iter().zip(&self.remaining);
+        reports.map(move |(&tag, &remaining)| ColdReport {
+            upstream: UpstreamTag(tag),
+            remaining: Duration::from_millis(u64::from(remaining / 2) * REPORT_AGE_MS),
+            is_up: remaining % 2 == 1,
+            at: now,
+        })
+    }
+}
+
 /// Versions of streams, in a message between a router and the holders of its records. Each stream has
 /// the same index in all columns.
 #[derive(Clone, PartialEq, Message)]
@@ -522,6 +563,9 @@
     /// frames of earlier versions.
     #[prost(bool, tag = "15")]
     pub proves_versions: bool,
+    /// Cold upstreams. They take no place of loads.
+    #[prost(message, optional, tag = "20")]
+    pub cold: Option<ColdColumns>,
 }
 
 impl HeartbeatFrame {
@@ -565,6 +609,11 @@
         self.leaving = (!reports.is_empty()).then(|| LeavingColumns::new(reports, now));
     }
 
+    /// Adds cold upstreams.
+    pub fn set_cold(&mut self, reports: &[ColdReport]) {
+        self.cold = (!reports.is_empty()).then(|| ColdColumns::new(reports));
+    }
+
     /// The sender's report of the store's newest state, if it has one.
     pub fn store_report(&self) -> Option<StoreReport> {
         self.store_age_ms.map(|age_ms| StoreReport {
--- a/src/policy/cold_upstreams.rs
+++ b/src/policy/cold_upstreams.rs
@@ -8,7 +8,9 @@
 //! Statements about an upstream extend its cold time. Only the upstream itself ends it early, by a
 //! response, because an entry of the store may have been written before the upstream became cold.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use crate::dialect::ColdStatement;
@@ -17,6 +19,7 @@
 use crate::mono::MonoTime;
 use crate::policy::known_routers::FleetContact;
 use crate::policy::latest_loads::UpstreamTag;
+use crate::policy::locate_choice::RouterPlace;
 use crate::policy::rate_limits::{FleetPlace, share_rank};
 use crate::route::ColdTerms;
 
@@ -85,6 +88,9 @@
 /// Number of changes that wait for the log.
 const MAX_CHANGES: usize = 64;
 
+/// Highest multiple and number of calls of a bound. A higher one is taken for a mistake.
+const MAX_BOUND_FIGURE: f64 = 1e6;
+
 /// What cold upstreams may get, beyond the rate of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdBound {
@@ -94,7 +100,34 @@
     pub slack: f64,
 }
 
+impl Default for ColdBound {
+    fn default() -> Self {
+        Self {
+            overshoot: 1.0,
+            slack: 0.0,
+        }
+    }
+}
+
 impl ColdBound {
+    /// Creates a bound. Figures that can't be meant are replaced by those of the default bound.
+    pub fn new(overshoot: f64, slack: f64) -> Self {
+        let default = Self::default();
+        let is_sound = |figure: f64| (0.0..=MAX_BOUND_FIGURE).contains(&figure);
+        Self {
+            overshoot: if is_sound(overshoot) && overshoot > 0.0 {
+                overshoot
+            } else {
+                default.overshoot
+            },
+            slack: if is_sound(slack) {
+                slack
+            } else {
+                default.slack
+            },
+        }
+    }
+
     /// Calls that an upstream of this rate may get in any second.
     pub fn calls(self, per_s: f64) -> f64 {
         per_s * self.overshoot + self.slack
@@ -164,9 +197,9 @@
 
 /// The place of this router among those that share the rates of cold upstreams.
 #[derive(Clone, Copy, Debug)]
-pub struct ColdPlace<'a> {
-    /// The routers that were up lately.
-    pub fleet: FleetPlace<'a>,
+pub struct ColdPlace {
+    /// Upper estimate of the number of routers, which a network partition doesn't reduce at once.
+    pub fleet_size: usize,
     pub contact: FleetContact,
     pub bound: ColdBound,
 }
@@ -199,11 +232,14 @@
     failed_at: Option<MonoTime>,
     last_answer: Option<MonoTime>,
     /// When it last answered after [`QUIET_TIME`].
-    woke: MonoTime,
+    woke: Option<MonoTime>,
     /// Time of the latest statement of the upstream itself.
     stated_at: Option<MonoTime>,
     /// When this router may send the next call.
     next_call: MonoTime,
+    /// Number of routers that come before this one in the order of shares, in a generation of the
+    /// list of routers.
+    rank: Cell<Option<(u64, usize)>>,
     /// When the report is announced again.
     repeat_at: Option<MonoTime>,
     /// Whether the log has the beginning of the cold time and not its end.
@@ -223,9 +259,10 @@
             missing_since: None,
             failed_at: None,
             last_answer: None,
-            woke: MonoTime::default(),
+            woke: None,
             stated_at: None,
             next_call: MonoTime::default(),
+            rank: Cell::new(None),
             repeat_at: None,
             is_logged: false,
         }
@@ -256,6 +293,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct ColdUpstreams {
     states: BTreeMap<UpstreamTag, ColdState>,
+    /// The routers among which rates are shared, this one among them.
+    routers: Vec<RouterPlace>,
+    own: Option<Ipv4Addr>,
+    /// Number of changes of `routers`.
+    generation: u64,
+    /// From when on no upstream is cold, in its ramp or down.
+    calm_from: MonoTime,
     /// Whether all entries were known at some time, so that a further one is that of a start during
     /// traffic.
     has_view: bool,
@@ -267,6 +311,15 @@
 }
 
 impl ColdUpstreams {
+    /// Sets the routers that were up lately, among which the rates are shared.
+    pub fn set_routers(&mut self, own: Ipv4Addr, routers: Vec<RouterPlace>) {
+        if self.own != Some(own) || self.routers != routers {
+            self.own = Some(own);
+            self.routers = routers;
+            self.generation += 1;
+        }
+    }
+
     /// Compares the entries of the services that have cold upstreams with those seen before.
     /// `is_complete` is false as long as the router does not have all entries. `unix_now` is the time
     /// of the wall clock since the Unix epoch.
@@ -316,6 +369,10 @@
             .entry(tag)
             .or_insert_with(|| ColdState::new(entry, terms));
         state.terms = terms;
+        if is_new && !has_view {
+            // Nothing is known to have started, and calls to it need not begin slowly.
+            state.last_answer = Some(now);
+        }
         let missing = state.missing_since.take();
         let is_back = missing.is_some_and(|since| now.since(since) > REWRITE_TIME);
         let has_started = state.start != entry.start();
@@ -358,11 +415,11 @@
         let Some(state) = self.states.get_mut(&upstream) else {
             return;
         };
-        let quiet = state
+        let was_quiet = state
             .last_answer
             .is_none_or(|at| now.since(at) > QUIET_TIME);
-        if quiet {
-            state.woke = now;
+        if was_quiet {
+            state.woke = Some(now);
         }
         state.last_answer = Some(now);
         let was_down = state.is_down(now);
@@ -399,6 +456,7 @@
             return;
         };
         state.failed_at = Some(now);
+        self.calm_from = self.calm_from.max(now + FAILURE_MEMORY);
         if refused {
             let until = now + state.terms.start();
             self.extend(upstream, until, ColdCause::Refused, now);
@@ -427,8 +485,14 @@
         {
             return;
         }
-        if report.is_up && state.failed_at.is_some_and(|at| at <= report.at) {
-            state.failed_at = None;
+        let until = now + report.remaining;
+        let is_newer = state.cold_until.is_none_or(|known| until > known);
+        if report.is_up {
+            state.failed_at = state.failed_at.filter(|&at| at > report.at);
+        } else if is_newer {
+            // It refused a connection after all that is known here: its cold time is yet to begin.
+            state.failed_at = Some(report.at);
+            self.calm_from = self.calm_from.max(now + FAILURE_MEMORY);
         }
         self.extend(
             report.upstream,
@@ -448,6 +512,7 @@
         }
         state.cold_until = Some(until);
         state.cause = cause;
+        self.calm_from = self.calm_from.max(until + RAMP_TIME);
         let gain = match cause {
             ColdCause::Refused => REFUSED_NEWS_GAIN.min(state.terms.start() / 2),
             _ => NEWS_GAIN,
@@ -474,7 +539,7 @@
     pub fn wait(
         &self,
         upstream: UpstreamTag,
-        place: ColdPlace<'_>,
+        place: ColdPlace,
         now: MonoTime,
     ) -> Result<Duration, Duration> {
         match self.pace(upstream, place, now) {
@@ -485,7 +550,7 @@
     }
 
     /// Counts a call that this router is going to send. Returns whether it took a share.
-    pub fn take(&mut self, upstream: UpstreamTag, place: ColdPlace<'_>, now: MonoTime) -> bool {
+    pub fn take(&mut self, upstream: UpstreamTag, place: ColdPlace, now: MonoTime) -> bool {
         let CallPace::Every(spacing, _) = self.pace(upstream, place, now) else {
             return false;
         };
@@ -501,7 +566,7 @@
         &mut self,
         upstream: UpstreamTag,
         taken: bool,
-        place: ColdPlace<'_>,
+        place: ColdPlace,
         now: MonoTime,
     ) -> bool {
         let is_due = taken || self.wait(upstream, place, now) == Ok(Duration::ZERO);
@@ -511,19 +576,22 @@
         is_due
     }
 
-    fn pace(&self, upstream: UpstreamTag, place: ColdPlace<'_>, now: MonoTime) -> CallPace {
+    fn pace(&self, upstream: UpstreamTag, place: ColdPlace, now: MonoTime) -> CallPace {
+        if now >= self.calm_from && !place.contact.is_isolated {
+            return CallPace::Open;
+        }
         let Some(state) = self.states.get(&upstream) else {
             return CallPace::Open;
         };
         let rate = place.bound.planned_rate(state.terms.per_s());
         let is_down = state.is_down(now);
         if state.is_cold(now) || is_down {
-            if let Some(spacing) = call_spacing(rate, upstream, place) {
+            if let Some(spacing) = self.call_spacing(rate, upstream, state, place) {
                 return CallPace::Every(spacing, state.next_call);
             }
             let cold_until = state.cold_until.unwrap_or_default();
             let trial_time = TRIAL_TIME_PER_ROUTER
-                .saturating_mul(u32::try_from(place.fleet.size).unwrap_or(u32::MAX))
+                .saturating_mul(u32::try_from(place.fleet_size).unwrap_or(u32::MAX))
                 .max(MIN_TRIAL_TIME);
             let trial_at = state.failed_at.map(|at| at + trial_time);
             return match trial_at.filter(|_| is_down) {
@@ -536,14 +604,16 @@
         {
             let passed = now.since(cold_until).as_secs_f64() / RAMP_TIME.as_secs_f64();
             let rate = rate * (RAMP_DOUBLINGS * passed).exp2();
-            return match call_spacing(rate, upstream, place) {
+            return match self.call_spacing(rate, upstream, state, place) {
                 Some(spacing) => CallPace::Every(spacing, state.next_call),
                 None => CallPace::Never(cold_until + RAMP_TIME),
             };
         }
-        let is_quiet = state.last_answer.is_none_or(|at| {
-            now.since(at) > QUIET_TIME || now.since(state.woke) < state.terms.start()
-        });
+        let is_silent = state
+            .last_answer
+            .is_none_or(|at| now.since(at) > QUIET_TIME);
+        let woke_lately = |at| now.since(at) < state.terms.start();
+        let is_quiet = is_silent || state.woke.is_some_and(woke_lately);
         if place.contact.is_isolated && is_quiet {
             let spacing = Duration::from_secs_f64(1.0 / (rate * MIN_SHARE_PART));
             return CallPace::Every(spacing, state.next_call);
@@ -551,6 +621,51 @@
         CallPace::Open
     }
 
+    /// Returns the time between two calls of this router to an upstream that takes `rate` calls per second
+    /// from all routers, or `None` if the router has no share.
+    ///
+    /// A router has whole calls per second: in any second, the calls of all routers together are then at
+    /// most `rate`, without bursts at the start of a share.
+    fn call_spacing(
+        &self,
+        rate: f64,
+        upstream: UpstreamTag,
+        state: &ColdState,
+        place: ColdPlace,
+    ) -> Option<Duration> {
+        if !place.contact.is_settled || rate <= 0.0 {
+            return None;
+        }
+        let whole = rate.floor().max(1.0);
+        let size = place.fleet_size.max(1) as f64;
+        let sum = |sharing: f64| sharing * (whole / sharing).floor();
+        let mut sharing = size.min(whole);
+        while sharing > 1.0 && sum(sharing) < whole * MIN_SHARE_SUM {
+            sharing -= 1.0;
+        }
+        let own_rate = (whole / sharing).floor().min(rate);
+        let spacing = Duration::try_from_secs_f64(SPACING_FACTOR / own_rate).ok()?;
+        let rank = self.rank(upstream, state);
+        ((rank as f64) < sharing).then_some(spacing)
+    }
+
+    /// Returns the number of routers that come before this one in the order of shares.
+    fn rank(&self, upstream: UpstreamTag, state: &ColdState) -> usize {
+        if let Some((generation, rank)) = state.rank.get()
+            && generation == self.generation
+        {
+            return rank;
+        }
+        let place = FleetPlace {
+            own: self.own.unwrap_or(Ipv4Addr::UNSPECIFIED),
+            routers: &self.routers,
+            size: self.routers.len(),
+        };
+        let rank = share_rank(upstream, place);
+        state.rank.set(Some((self.generation, rank)));
+        rank
+    }
+
     /// Returns the reports that other routers should get at once.
     pub fn take_notice(&mut self, now: MonoTime) -> Vec<ColdReport> {
         let is_early = |at| now.since(at) < NOTICE_SPACING;
@@ -596,10 +711,17 @@
                 ended.push(ColdChange::Ended(state.id.clone()));
             }
         }
-        ended.into_iter().for_each(|change| self.log(change));
+        for change in ended {
+            self.log(change);
+        }
         std::mem::take(&mut self.changes)
     }
 
+    /// Whether other routers should hear of something.
+    pub fn has_news(&self) -> bool {
+        !self.announcements.is_empty()
+    }
+
     /// Whether no service has cold upstreams.
     pub fn is_empty(&self) -> bool {
         self.states.is_empty()
@@ -622,24 +744,3 @@
         std::mem::take(&mut self.ignored)
     }
 }
-
-/// Returns the time between two calls of this router to an upstream that takes `rate` calls per second
-/// from all routers, or `None` if the router has no share.
-///
-/// A router has whole calls per second: in any second, the calls of all routers together are then at
-/// most `rate`, without bursts at the start of a share.
-fn call_spacing(rate: f64, upstream: UpstreamTag, place: ColdPlace<'_>) -> Option<Duration> {
-    if !place.contact.is_settled || rate <= 0.0 {
-        return None;
-    }
-    let whole = rate.floor().max(1.0);
-    let size = place.fleet.size.max(1) as f64;
-    let sum = |sharing: f64| sharing * (whole / sharing).floor();
-    let mut sharing = size.min(whole);
-    while sharing > 1.0 && sum(sharing) < whole * MIN_SHARE_SUM {
-        sharing -= 1.0;
-    }
-    let own_rate = (whole / sharing).floor().min(rate);
-    let spacing = Duration::try_from_secs_f64(SPACING_FACTOR / own_rate).ok()?;
-    ((share_rank(upstream, place.fleet) as f64) < sharing).then_some(spacing)
-}
--- a/src/policy/upstream_gate.rs
+++ b/src/policy/upstream_gate.rs
@@ -16,6 +16,9 @@
     /// Its rate limit allows this router a request after this time; `None` if the router has no share
     /// of the limit.
     Limited(Option<Duration>),
+    /// It is cold, or was until lately. This router may call it after this time; `None` if it has no
+    /// share of its calls now.
+    Cold(Option<Duration>),
     /// This router has its share of the upstream's connections.
     Connections,
 }
@@ -28,6 +31,7 @@
             Self::Declining(_) => "declining",
             Self::Tried => "tried",
             Self::Limited(_) => "limited",
+            Self::Cold(_) => "cold",
             Self::Connections => "connections",
         }
     }
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -50,6 +50,12 @@
     pub upstreams_withheld: IntGauge,
     /// Number of upstreams that limit the rate of requests.
     pub upstreams_limited: IntGauge,
+    /// Number of upstreams that are cold after a start.
+    pub upstreams_cold: IntGauge,
+    /// Number of calls that were not written because their upstream had become cold.
+    pub cold_calls_held: IntCounter,
+    /// Number of statements about cold upstreams that can't be meant.
+    pub cold_ignored: IntCounter,
     /// Number of registered upstreams that have said that they leave.
     pub upstreams_leaving: IntGauge,
     /// Number of upstreams that have asked this router to wait.
@@ -105,6 +111,7 @@
         let (take_ups, store_checks) = register_take_ups(&registry)?;
         let (relayed, relayed_accounts) = register_relays(&registry)?;
         let (unreadable_frames, routers_without) = register_peers(&registry)?;
+        let (upstreams_cold, cold_calls_held, cold_ignored) = register_cold(&registry)?;
         Ok(Self {
             calls: counters("calls_total", "Finished calls", &["kind", "outcome"])?,
             call_seconds,
@@ -151,6 +158,9 @@
                 "upstreams_limited",
                 "Upstreams that limit the rate of requests",
             )?,
+            upstreams_cold,
+            cold_calls_held,
+            cold_ignored,
             upstreams_leaving: gauge(
                 "upstreams_leaving",
                 "Registered upstreams that have said that they leave",
@@ -259,6 +269,25 @@
     Ok((unreadable, without))
 }
 
+/// Registers the metrics of cold upstreams.
+fn register_cold(
+    registry: &Registry,
+) -> Result<(IntGauge, IntCounter, IntCounter), prometheus::Error> {
+    let upstreams = IntGauge::new("upstreams_cold", "Upstreams that are cold after a start")?;
+    registry.register(Box::new(upstreams.clone()))?;
+    let held = IntCounter::new(
+        "cold_calls_held_total",
+        "Calls that were not written because their upstream had become cold",
+    )?;
+    registry.register(Box::new(held.clone()))?;
+    let ignored = IntCounter::new(
+        "cold_statements_ignored_total",
+        "Statements about cold upstreams that can't be meant",
+    )?;
+    registry.register(Box::new(ignored.clone()))?;
+    Ok((upstreams, held, ignored))
+}
+
 /// Registers the histograms of the times of calls and of first events.
 fn register_latencies(registry: &Registry) -> Result<(HistogramVec, Histogram), prometheus::Error> {
     let opts =
--- a/src/route/route_table.rs
+++ b/src/route/route_table.rs
@@ -9,7 +9,8 @@
 
 use crate::ids::{AccountId, RouteKey, ServiceId};
 use crate::route::{
-    CallKind, ColdTerms, EdgeLimits, PriorityRank, RouteProblem, RouteRule, TableFault,
+    CallKind, ColdTerms, ColdTermsFault, EdgeLimits, PriorityRank, RouteProblem, RouteRule,
+    TableFault,
 };
 
 /// Version number of a configuration; a larger one is newer.
@@ -59,6 +60,7 @@
     grants: Option<HashMap<Bytes, Arc<AccountGrant>>>,
     routes: usize,
     faults: Vec<TableFault>,
+    cold_faults: Vec<(ServiceId, ColdTermsFault)>,
 }
 
 impl RouteTable {
@@ -126,6 +128,11 @@
         &self.faults
     }
 
+    /// Returns the services whose cold terms can't be meant and are left out.
+    pub fn cold_faults(&self) -> &[(ServiceId, ColdTermsFault)] {
+        &self.cold_faults
+    }
+
     fn find_faults(&mut self) {
         let Self {
             hosts,
@@ -180,6 +187,7 @@
                 grants: None,
                 routes: 0,
                 faults: Vec::new(),
+                cold_faults: Vec::new(),
             },
         }
     }
@@ -206,6 +214,13 @@
         self
     }
 
+    /// Records that the cold terms of a service can't be meant.
+    #[must_use]
+    pub fn cold_fault(mut self, service: ServiceId, fault: ColdTermsFault) -> Self {
+        self.table.cold_faults.push((service, fault));
+        self
+    }
+
     /// Requires API keys from callers, even if no grant is added.
     #[must_use]
     pub fn require_keys(mut self) -> Self {
--- a/tests/odd_frames.rs
+++ b/tests/odd_frames.rs
@@ -16,8 +16,8 @@
 use hawthornrouter::fleet::store_view::{StoreChange, StoreView};
 use hawthornrouter::fleet::version_history::{VersionHistory, history_time};
 use hawthornrouter::gossip::frames::{
-    DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame, LeavingColumns, LoadColumns,
-    MemberColumns, RateColumns, StreamColumns, SuspectColumns, VersionColumns,
+    ColdColumns, DocumentFrame, DocumentRequest, DocumentResponse, HeartbeatFrame, LeavingColumns,
+    LoadColumns, MemberColumns, RateColumns, StreamColumns, SuspectColumns, VersionColumns,
 };
 use hawthornrouter::ids::{DataCenterTag, IncarnationId, ServiceKey, StreamTag};
 use hawthornrouter::mono::MonoTime;
@@ -116,6 +116,7 @@
         prop::option::of(extreme_u32()),
         extreme_u32(),
     );
+    let cold = (columns_u32(), columns_u32());
     let numbers = (
         extreme_u64(),
         extreme_u64(),
@@ -125,62 +126,68 @@
         any::<bool>(),
     );
     let parts = (
-        members, loads, suspects, rates, leaving, streams, versions, numbers,
+        members, loads, suspects, rates, leaving, streams, versions, cold, numbers,
     );
     parts.prop_map(
-        |(members, loads, suspects, rates, leaving, streams, versions, numbers)| HeartbeatFrame {
-            members: Some(MemberColumns {
-                addresses: members.0,
-                incarnations: members.1,
-                states: members.2,
-                data_centers: members.3,
-            }),
-            config_version: numbers.0,
-            store_revision: numbers.1,
-            store_era: numbers.3,
-            loads: Some(LoadColumns {
-                tags: loads.0,
-                running: loads.1,
-                waiting: loads.2,
-                ages: loads.3,
-            }),
-            store_age_ms: numbers.2,
-            suspects: Some(SuspectColumns {
-                crash_tags: suspects.0,
-                crash_upstreams: suspects.1,
-                crash_ages: suspects.2,
-                sound_tags: suspects.3,
-                sound_ages: suspects.4,
-                crash_kinds: suspects.5,
-                sound_kinds: suspects.6,
-            }),
-            rates: Some(RateColumns {
-                tags: rates.0,
-                limits: rates.1,
-                ages: rates.2,
-            }),
-            leaving: Some(LeavingColumns {
-                starts: leaving.0,
-                ages: leaving.1,
-            }),
-            streams: Some(StreamColumns {
-                streams: streams.0,
-                versions: streams.1,
-                left_ms: streams.2,
-                asked: streams.3,
-                missing: streams.4,
-            }),
-            covered_s: numbers.4,
-            uptime_s: numbers.4,
-            lacks_store: numbers.5,
-            proves_versions: numbers.5,
-            versions: Some(VersionColumns {
-                services: versions.0,
-                versions: versions.1,
-                ages_ms: versions.2,
-                covered_ms: versions.3,
-                known_ms: versions.4,
-            }),
+        |(members, loads, suspects, rates, leaving, streams, versions, cold, numbers)| {
+            HeartbeatFrame {
+                members: Some(MemberColumns {
+                    addresses: members.0,
+                    incarnations: members.1,
+                    states: members.2,
+                    data_centers: members.3,
+                }),
+                config_version: numbers.0,
+                store_revision: numbers.1,
+                store_era: numbers.3,
+                loads: Some(LoadColumns {
+                    tags: loads.0,
+                    running: loads.1,
+                    waiting: loads.2,
+                    ages: loads.3,
+                }),
+                store_age_ms: numbers.2,
+                suspects: Some(SuspectColumns {
+                    crash_tags: suspects.0,
+                    crash_upstreams: suspects.1,
+                    crash_ages: suspects.2,
+                    sound_tags: suspects.3,
+                    sound_ages: suspects.4,
+                    crash_kinds: suspects.5,
+                    sound_kinds: suspects.6,
+                }),
+                rates: Some(RateColumns {
+                    tags: rates.0,
+                    limits: rates.1,
+                    ages: rates.2,
+                }),
+                cold: Some(ColdColumns {
+                    tags: cold.0,
+                    remaining: cold.1,
+                }),
+                leaving: Some(LeavingColumns {
+                    starts: leaving.0,
+                    ages: leaving.1,
+                }),
+                streams: Some(StreamColumns {
+                    streams: streams.0,
+                    versions: streams.1,
+                    left_ms: streams.2,
+                    asked: streams.3,
+                    missing: streams.4,
+                }),
+                covered_s: numbers.4,
+                uptime_s: numbers.4,
+                lacks_store: numbers.5,
+                proves_versions: numbers.5,
+                versions: Some(VersionColumns {
+                    services: versions.0,
+                    versions: versions.1,
+                    ages_ms: versions.2,
+                    covered_ms: versions.3,
+                    known_ms: versions.4,
+                }),
+            }
         },
     )
 }
