--- a/src/policy/cold_upstreams.rs
+++ b/src/policy/cold_upstreams.rs
@@ -717,6 +717,9 @@
         std::mem::take(&mut self.changes)
     }
 
+    pub fn debug(&self, tag: UpstreamTag) -> String {
+        format!("{:?}", self.states.get(&tag))
+    }
     /// Whether other routers should hear of something.
     pub fn has_news(&self) -> bool {
         !self.announcements.is_empty()
--- a/tests/cold_upstreams.rs
+++ b/tests/cold_upstreams.rs
@@ -9,7 +9,7 @@
 use hawthornrouter::ids::DataCenterTag;
 use hawthornrouter::mono::MonoTime;
 use hawthornrouter::policy::cold_upstreams::{ColdBound, ColdPlace, ColdReport, ColdUpstreams};
-use hawthornrouter::policy::known_routers::KnownRouters;
+use hawthornrouter::policy::known_routers::{FleetContact, KnownRouters};
 use hawthornrouter::policy::latest_loads::UpstreamTag;
 use hawthornrouter::policy::locate_choice::RouterPlace;
 use hawthornrouter::route::ColdTerms;
@@ -52,6 +52,7 @@
 struct Router {
     cold: ColdUpstreams,
     known: KnownRouters,
+    contact: FleetContact,
     started_ms: u64,
     is_cut_off: bool,
     /// By upstream: end of the backoff and its length, in ms.
@@ -133,6 +134,7 @@
         let router = |_| Router {
             cold: ColdUpstreams::default(),
             known: KnownRouters::default(),
+            contact: FleetContact::default(),
             started_ms: 0,
             is_cut_off: false,
             backoff: vec![(0, 0); UPSTREAMS],
@@ -226,6 +228,7 @@
         }
         let router = &mut self.routers[index];
         router.known.record(place(index).address, &live, at(ms));
+        router.contact = router.known.contact(place(index).address, count, at(ms));
         let known = router.known.places();
         router.cold.set_routers(place(index).address, known);
         let listed = entries.iter().map(|&entry| (entry, terms()));
@@ -281,7 +284,6 @@
     /// Sends a call to the upstream that looks idle: `loads` are 200 ms old and the same for all.
     fn call(&mut self, index: usize, loads: &[u32], unlisted: bool, ms: u64) {
         self.calls += 1;
-        let count = self.routers.len();
         let mut is_listed = [true; UPSTREAMS];
         for (number, listed) in is_listed.iter_mut().enumerate() {
             let news = self.is_listed(index, number, ms) && !self.routers[index].is_cut_off;
@@ -297,7 +299,7 @@
         let router = &mut self.routers[index];
         let place = ColdPlace {
             fleet_size: router.known.places().len(),
-            contact: router.known.contact(place(index).address, count, at(ms)),
+            contact: router.contact,
             bound: BOUND,
         };
         let options = (0..UPSTREAMS).filter(|&number| is_listed[number]);
