Announce a refused connection once for each outage

Further refusals within 20 s no longer go to other routers, since the first report keeps the upstream marked as down there. Notices are now at most 10 ms apart instead of 50.

--- a/src/policy/cold_upstreams.rs
+++ b/src/policy/cold_upstreams.rs
@@ -72,9 +72,8 @@
 /// Number of reports in one notice.
 const MAX_NOTICE_REPORTS: usize = 64;
 
-/// Least time between two notices. With less, the failed connections of an outage of a data centre
-/// would take more than the budget of control traffic.
-const NOTICE_SPACING: Duration = Duration::from_millis(50);
+/// Least time between two notices, so that those of one moment go into one datagram.
+const NOTICE_SPACING: Duration = Duration::from_millis(10);
 
 /// Time after which a report is announced again, because datagrams may be lost.
 const REPEAT_TIME: Duration = Duration::from_millis(500);
@@ -82,8 +81,9 @@
 /// Extension of a cold time that other routers hear of.
 const NEWS_GAIN: Duration = Duration::from_millis(400);
 
-/// Extension of a cold time by a further refused connection that other routers hear of.
-const REFUSED_NEWS_GAIN: Duration = Duration::from_millis(1500);
+/// Time after which other routers hear again that an upstream refuses connections, less than
+/// [`FAILURE_MEMORY`].
+const REFUSED_NEWS_TIME: Duration = Duration::from_secs(20);
 
 /// Number of changes that wait for the log.
 const MAX_CHANGES: usize = 64;
@@ -230,6 +230,10 @@
     missing_since: Option<MonoTime>,
     /// When a connection to it failed, if there was no response since.
     failed_at: Option<MonoTime>,
+    /// When the first of these connections failed.
+    down_since: Option<MonoTime>,
+    /// When other routers were last told of its cold time.
+    announced: Option<MonoTime>,
     last_answer: Option<MonoTime>,
     /// When it last answered after [`QUIET_TIME`].
     woke: Option<MonoTime>,
@@ -258,6 +262,8 @@
             stated: Duration::ZERO,
             missing_since: None,
             failed_at: None,
+            down_since: None,
+            announced: None,
             last_answer: None,
             woke: None,
             stated_at: None,
@@ -277,7 +283,7 @@
         !self.remaining(now).is_zero()
     }
 
-    /// Whether the latest connection to it failed.
+    /// Whether the latest connection to it failed, here or at a router that was refused.
     fn is_down(&self, now: MonoTime) -> bool {
         self.failed_at
             .is_some_and(|at| now.since(at) < FAILURE_MEMORY)
@@ -455,6 +461,10 @@
         let Some(state) = self.states.get_mut(&upstream) else {
             return;
         };
+        state.down_since = state
+            .down_since
+            .filter(|_| state.is_down(now))
+            .or(Some(now));
         state.failed_at = Some(now);
         self.calm_from = self.calm_from.max(now + FAILURE_MEMORY);
         if refused {
@@ -491,6 +501,10 @@
             state.failed_at = state.failed_at.filter(|&at| at > report.at);
         } else if is_newer {
             // It refused a connection after all that is known here: its cold time is yet to begin.
+            state.down_since = state
+                .down_since
+                .filter(|_| state.is_down(now))
+                .or(Some(now));
             state.failed_at = Some(report.at);
             self.calm_from = self.calm_from.max(now + FAILURE_MEMORY);
         }
@@ -513,11 +527,14 @@
         state.cold_until = Some(until);
         state.cause = cause;
         self.calm_from = self.calm_from.max(until + RAMP_TIME);
-        let gain = match cause {
-            ColdCause::Refused => REFUSED_NEWS_GAIN.min(state.terms.start() / 2),
-            _ => NEWS_GAIN,
-        };
-        if until.since(now) > remaining + gain || remaining.is_zero() {
+        let is_down_longer = state.is_down(now)
+            && state.announced.is_some_and(|at| {
+                state.down_since.is_some_and(|since| since <= at)
+                    && now.since(at) < REFUSED_NEWS_TIME
+            });
+        let is_longer = until.since(now) > remaining + NEWS_GAIN;
+        if is_longer && !is_down_longer {
+            state.announced = Some(now);
             state.repeat_at = Some(now + REPEAT_TIME);
             self.announcements.insert(tag);
         }
--- a/tests/cold_upstreams.rs
+++ b/tests/cold_upstreams.rs
@@ -321,7 +321,7 @@
         router.cold.take(tag, place, at(ms));
         if self.upstreams[number].is_down {
             let refused = self.refused;
-            let after = if refused { 2 } else { 300 };
+            let after = if refused { STEP_MS } else { 300 };
             self.schedule(ms + after, Event::Failure(index, number, refused));
             return;
         }
