--- a/src/forward/cold_calls.rs
+++ b/src/forward/cold_calls.rs
@@ -59,14 +59,16 @@
         self.announce_cold(&cold);
     }
 
-    /// Records that no connection to an upstream could be made.
+    /// Records that no connection to an upstream could be made, or that it ended one during a call: it
+    /// may have started again since, which nothing else shows before its entry.
     pub(super) fn record_cold_failure(&self, upstream: UpstreamKey, fault: AttemptFault) {
-        if !matches!(fault, AttemptFault::Unreachable | AttemptFault::Refused) {
+        let has_ended = matches!(fault, AttemptFault::Refused | AttemptFault::Broken);
+        if !has_ended && fault != AttemptFault::Unreachable {
             return;
         }
         let now = self.now();
         let mut cold = self.board.cold_upstreams();
-        cold.record_failure(upstream.into(), fault == AttemptFault::Refused, now);
+        cold.record_failure(upstream.into(), has_ended, now);
         self.announce_cold(&cold);
     }
 
--- a/src/policy/cold_upstreams.rs
+++ b/src/policy/cold_upstreams.rs
@@ -149,7 +149,7 @@
     Appeared,
     /// It has answered after a failed connection.
     Answered,
-    /// It has refused a connection, so that it will be cold when it is back.
+    /// It has refused a connection or broken one off, so that it will be cold when it is back.
     Refused,
     /// A response says so.
     Stated,
@@ -455,9 +455,9 @@
         }
     }
 
-    /// Records that no connection to an upstream could be made. One that was `refused` shows that the
-    /// upstream does not run.
-    pub fn record_failure(&mut self, upstream: UpstreamTag, refused: bool, now: MonoTime) {
+    /// Records that no connection to an upstream could be made, or that one broke. `has_ended` is true
+    /// if this shows that the upstream has ended, so that it will be cold when it is back.
+    pub fn record_failure(&mut self, upstream: UpstreamTag, has_ended: bool, now: MonoTime) {
         let Some(state) = self.states.get_mut(&upstream) else {
             return;
         };
@@ -467,7 +467,7 @@
             .or(Some(now));
         state.failed_at = Some(now);
         self.calm_from = self.calm_from.max(now + FAILURE_MEMORY);
-        if refused {
+        if has_ended {
             let until = now + state.terms.start();
             self.extend(upstream, until, ColdCause::Refused, now);
         }
--- a/tests/cold_upstreams.rs
+++ b/tests/cold_upstreams.rs
@@ -173,8 +173,16 @@
     }
 
     fn stop_upstream(&mut self, index: usize, unlisted: bool, ms: u64) {
+        for router in 0..self.routers.len() {
+            // The calls in progress break, unless the whole machine is off.
+            if std::mem::take(&mut self.routers[router].open[index]) > 0 && self.refused {
+                let after = self.rng.random_range(5..15);
+                self.schedule(ms + after, Event::Failure(router, index, true));
+            }
+        }
         let upstream = &mut self.upstreams[index];
         upstream.is_down = true;
+        upstream.open = 0;
         upstream.removed_ms = unlisted.then_some(ms + 3000);
     }
 
