--- a/tests/odd_frames.rs
+++ b/tests/odd_frames.rs
@@ -88,6 +88,17 @@
     prop::collection::vec(extreme_u64(), 0..6)
 }
 
+fn heartbeat_numbers() -> impl Strategy<Value = (u64, u64, Option<u64>, u64, Option<u32>, bool)> {
+    (
+        extreme_u64(),
+        extreme_u64(),
+        prop::option::of(extreme_u64()),
+        extreme_u64(),
+        prop::option::of(extreme_u32()),
+        any::<bool>(),
+    )
+}
+
 fn heartbeat() -> impl Strategy<Value = HeartbeatFrame> {
     let members = (columns_u32(), columns_u64(), columns_u32(), columns_u32());
     let loads = (columns_u32(), columns_u32(), columns_u32(), columns_u32());
@@ -117,14 +128,7 @@
         extreme_u32(),
     );
     let cold = (columns_u32(), columns_u32());
-    let numbers = (
-        extreme_u64(),
-        extreme_u64(),
-        prop::option::of(extreme_u64()),
-        extreme_u64(),
-        prop::option::of(extreme_u32()),
-        any::<bool>(),
-    );
+    let numbers = heartbeat_numbers();
     let parts = (
         members, loads, suspects, rates, leaving, streams, versions, cold, numbers,
     );
