--- a/src/policy/cold_upstreams.rs
+++ b/src/policy/cold_upstreams.rs
@@ -304,8 +304,9 @@
     own: Option<Ipv4Addr>,
     /// Number of changes of `routers`.
     generation: u64,
-    /// From when on no upstream is cold, in its ramp or down.
-    calm_from: MonoTime,
+    /// The upstreams that are cold, in their ramp or down, and until when at most. They are few, so
+    /// that checks of all upstreams take little time.
+    paced: BTreeMap<UpstreamTag, MonoTime>,
     /// Whether all entries were known at some time, so that a further one is that of a start during
     /// traffic.
     has_view: bool,
@@ -466,7 +467,8 @@
             .filter(|_| state.is_down(now))
             .or(Some(now));
         state.failed_at = Some(now);
-        self.calm_from = self.calm_from.max(now + FAILURE_MEMORY);
+        let paced = self.paced.entry(upstream).or_default();
+        *paced = (*paced).max(now + FAILURE_MEMORY);
         if has_ended {
             let until = now + state.terms.start();
             self.extend(upstream, until, ColdCause::Refused, now);
@@ -506,7 +508,8 @@
                 .filter(|_| state.is_down(now))
                 .or(Some(now));
             state.failed_at = Some(report.at);
-            self.calm_from = self.calm_from.max(now + FAILURE_MEMORY);
+            let paced = self.paced.entry(report.upstream).or_default();
+            *paced = (*paced).max(now + FAILURE_MEMORY);
         }
         self.extend(
             report.upstream,
@@ -526,7 +529,8 @@
         }
         state.cold_until = Some(until);
         state.cause = cause;
-        self.calm_from = self.calm_from.max(until + RAMP_TIME);
+        let paced = self.paced.entry(tag).or_default();
+        *paced = (*paced).max(until + RAMP_TIME);
         let is_down_longer = state.is_down(now)
             && state.announced.is_some_and(|at| {
                 state.down_since.is_some_and(|since| since <= at)
@@ -594,7 +598,8 @@
     }
 
     fn pace(&self, upstream: UpstreamTag, place: ColdPlace, now: MonoTime) -> CallPace {
-        if now >= self.calm_from && !place.contact.is_isolated {
+        let is_paced = || self.paced.get(&upstream).is_some_and(|&until| now < until);
+        if !place.contact.is_isolated && !is_paced() {
             return CallPace::Open;
         }
         let Some(state) = self.states.get(&upstream) else {
@@ -717,6 +722,7 @@
 
     /// Announces reports again that are due, and returns what has changed since the last call.
     pub fn tick(&mut self, now: MonoTime) -> Vec<ColdChange> {
+        self.paced.retain(|_, until| now < *until);
         let mut ended = Vec::new();
         for (&tag, state) in &mut self.states {
             if state.repeat_at.is_some_and(|at| at <= now) {
--- a/tests/cold_upstreams.rs
+++ b/tests/cold_upstreams.rs
@@ -534,3 +534,82 @@
         check(trouble, faults);
     }
 }
+
+/// An upstream known before traffic, at a router that knows its place in a fleet of one.
+fn known_upstream() -> (ColdUpstreams, UpstreamTag, ColdPlace) {
+    let mut cold = ColdUpstreams::default();
+    let entry = entry(0, wall(0) - 600_000, 0);
+    let unix_now = Duration::from_millis(wall(0));
+    cold.observe([(&entry, terms())].into_iter(), true, at(0), unix_now);
+    let own = place(0);
+    cold.set_routers(own.address, vec![own]);
+    let place = ColdPlace {
+        fleet_size: 1,
+        contact: FleetContact {
+            is_settled: true,
+            is_isolated: false,
+        },
+        bound: BOUND,
+    };
+    (cold, entry.id.key().into(), place)
+}
+
+/// Guards against an upstream that stays cold though it says that it is warm, and against a cold time
+/// that can't be meant.
+#[test]
+fn statements_of_upstream() {
+    let (mut cold, tag, place) = known_upstream();
+    let ms = Duration::from_millis;
+    assert_eq!(cold.wait(tag, place, at(0)), Ok(Duration::ZERO));
+    cold.record_answer(tag, ColdStatement::For(ms(2000)), at(100));
+    assert_eq!(cold.remaining(tag, at(100)), ms(2000));
+    assert!(cold.take(tag, place, at(100)));
+    assert_ne!(cold.wait(tag, place, at(150)), Ok(Duration::ZERO));
+    cold.record_answer(tag, ColdStatement::For(Duration::ZERO), at(300));
+    assert_eq!(cold.remaining(tag, at(300)), Duration::ZERO);
+    for odd in [ColdStatement::Unreadable, ColdStatement::For(Duration::MAX)] {
+        cold.record_answer(tag, odd, at(400));
+        assert_eq!(cold.remaining(tag, at(400)), Duration::ZERO);
+    }
+    assert_eq!(cold.take_ignored(), 2);
+    // Before the latest statement of the upstream itself.
+    let late = ColdReport {
+        upstream: tag,
+        remaining: ms(1000),
+        is_up: true,
+        at: at(200),
+    };
+    cold.merge(late, at(500));
+    assert_eq!(cold.remaining(tag, at(500)), Duration::ZERO);
+    cold.data_center_reopened(&"dc-0".parse().unwrap(), at(1000));
+    assert_eq!(cold.remaining(tag, at(1000)), ms(COLD_MS));
+}
+
+/// Guards against a call that was meant for a warm upstream and is written to a cold one.
+#[test]
+fn last_check_takes_share() {
+    let (mut cold, tag, place) = known_upstream();
+    assert!(!cold.take(tag, place, at(0)));
+    cold.data_center_reopened(&"dc-0".parse().unwrap(), at(10));
+    assert!(cold.may_write(tag, false, place, at(20)));
+    assert!(!cold.may_write(tag, false, place, at(30)));
+    let unsettled = ColdPlace {
+        contact: FleetContact::default(),
+        ..place
+    };
+    assert!(!cold.may_write(tag, false, unsettled, at(1000)));
+}
+
+#[test]
+fn odd_terms_and_bounds() {
+    for (start_s, per_s) in [
+        (-1.0, 9.3),
+        (3.0, f64::NAN),
+        (f64::INFINITY, 1.0),
+        (3.0, 1e300),
+    ] {
+        assert!(ColdTerms::new(start_s, per_s).is_err());
+    }
+    assert_eq!(ColdTerms::new(0.0, 9.3), Ok(None));
+    assert_eq!(ColdBound::new(f64::NAN, -1.0), ColdBound::default());
+}
