--- a/src/forward.rs
+++ b/src/forward.rs
@@ -10,6 +10,7 @@
 pub mod choice_explanation;
 mod choice_record;
 mod chunk_source;
+mod cold_calls;
 pub mod connection_headers;
 mod connection_pool;
 mod evacuated_upstreams;
--- a/src/forward_control/control_state/evacuations.rs
+++ b/src/forward_control/control_state/evacuations.rs
@@ -44,6 +44,13 @@
 impl<C: DocumentCodec> ControlState<C> {
     pub(super) fn publish_evacuations(&self) {
         let evacuations = self.store_view.evacuations();
+        let now = self.now();
+        let before = self.board.evacuations.load();
+        // Before the gate opens: the upstreams there may have become cold.
+        for data_center in before.evacuated().difference(evacuations.evacuated()) {
+            let mut cold = self.board.cold_upstreams();
+            cold.data_center_reopened(data_center, now);
+        }
         self.board.evacuations.store(evacuations.into());
     }
 
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -55,6 +55,12 @@
     pub upstreams_evacuated: IntGauge,
     /// Number of upstreams that limit the rate of requests.
     pub upstreams_limited: IntGauge,
+    /// Number of upstreams that are cold after a start.
+    pub upstreams_cold: IntGauge,
+    /// Number of calls that were not written because their upstream had become cold.
+    pub cold_calls_held: IntCounter,
+    /// Number of statements about cold upstreams that can't be meant.
+    pub cold_ignored: IntCounter,
     /// Number of registered upstreams that have said that they leave.
     pub upstreams_leaving: IntGauge,
     /// Number of upstreams that have asked this router to wait.
@@ -93,24 +99,15 @@
     /// Registers every metric in a new registry.
     pub fn new() -> Result<Self, prometheus::Error> {
         let registry = Registry::new_custom(Some("hawthorn".to_owned()), None)?;
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            register_counters(&registry, name, help, labels)
-        };
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help)?;
-            registry.register(Box::new(counter.clone()))?;
-            Ok::<_, prometheus::Error>(counter)
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help)?;
-            registry.register(Box::new(gauge.clone()))?;
-            Ok::<_, prometheus::Error>(gauge)
-        };
+        let counters = |name, help, labels| register_counters(&registry, name, help, labels);
+        let counter = |name, help| register_counter(&registry, name, help);
+        let gauge = |name, help| register_gauge(&registry, name, help);
         let (call_seconds, first_event_seconds) = register_latencies(&registry)?;
         let (take_ups, store_checks) = register_take_ups(&registry)?;
         let (relayed, relayed_accounts) = register_relays(&registry)?;
         let (unreadable_frames, routers_without) = register_peers(&registry)?;
         let (evacuations, upstreams_evacuated) = register_evacuations(&registry)?;
+        let (upstreams_cold, cold_calls_held, cold_ignored) = register_cold(&registry)?;
         Ok(Self {
             calls: counters("calls_total", "Finished calls", &["kind", "outcome"])?,
             call_seconds,
@@ -159,6 +156,9 @@
                 "upstreams_limited",
                 "Upstreams that limit the rate of requests",
             )?,
+            upstreams_cold,
+            cold_calls_held,
+            cold_ignored,
             upstreams_leaving: gauge(
                 "upstreams_leaving",
                 "Registered upstreams that have said that they leave",
@@ -210,6 +210,26 @@
     Ok(counters)
 }
 
+fn register_counter(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<IntCounter, prometheus::Error> {
+    let counter = IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn register_gauge(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 /// Registers the counters of calls that take streams up, and of the reads of the store for them.
 fn register_take_ups(
     registry: &Registry,
@@ -282,6 +302,25 @@
     Ok((unreadable, without))
 }
 
+/// Registers the metrics of cold upstreams.
+fn register_cold(
+    registry: &Registry,
+) -> Result<(IntGauge, IntCounter, IntCounter), prometheus::Error> {
+    let upstreams = IntGauge::new("upstreams_cold", "Upstreams that are cold after a start")?;
+    registry.register(Box::new(upstreams.clone()))?;
+    let held = IntCounter::new(
+        "cold_calls_held_total",
+        "Calls that were not written because their upstream had become cold",
+    )?;
+    registry.register(Box::new(held.clone()))?;
+    let ignored = IntCounter::new(
+        "cold_statements_ignored_total",
+        "Statements about cold upstreams that can't be meant",
+    )?;
+    registry.register(Box::new(ignored.clone()))?;
+    Ok((upstreams, held, ignored))
+}
+
 /// Registers the histograms of the times of calls and of first events.
 fn register_latencies(registry: &Registry) -> Result<(HistogramVec, Histogram), prometheus::Error> {
     let opts =
--- a/src/route/route_table.rs
+++ b/src/route/route_table.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 
 use crate::ids::{AccountId, RouteKey, ServiceId};
-use crate::route::{CallKind, EdgeLimits, PriorityRank, RouteProblem, RouteRule, TableFault};
+use crate::route::{
+    CallKind, ColdTerms, ColdTermsFault, EdgeLimits, PriorityRank, RouteProblem, RouteRule,
+    TableFault,
+};
 
 /// Version number of a configuration; a larger one is newer.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -30,6 +33,8 @@
     /// Rate at which an upstream copies prompt tokens from the cache of another, in tokens per
     /// millisecond; 0 if the upstreams can't copy.
     pub copied_tokens_per_ms: f64,
+    /// How upstreams behave after their start; `None` if they take calls as always.
+    pub cold: Option<ColdTerms>,
 }
 
 /// The permissions of an API key.
@@ -55,6 +60,7 @@
     grants: Option<HashMap<Bytes, Arc<AccountGrant>>>,
     routes: usize,
     faults: Vec<TableFault>,
+    cold_faults: Vec<(ServiceId, ColdTermsFault)>,
 }
 
 impl RouteTable {
@@ -122,6 +128,11 @@
         &self.faults
     }
 
+    /// Returns the services whose cold terms can't be meant and are left out.
+    pub fn cold_faults(&self) -> &[(ServiceId, ColdTermsFault)] {
+        &self.cold_faults
+    }
+
     fn find_faults(&mut self) {
         let Self {
             hosts,
@@ -176,6 +187,7 @@
                 grants: None,
                 routes: 0,
                 faults: Vec::new(),
+                cold_faults: Vec::new(),
             },
         }
     }
@@ -202,6 +214,13 @@
         self
     }
 
+    /// Records that the cold terms of a service can't be meant.
+    #[must_use]
+    pub fn cold_fault(mut self, service: ServiceId, fault: ColdTermsFault) -> Self {
+        self.table.cold_faults.push((service, fault));
+        self
+    }
+
     /// Requires API keys from callers, even if no grant is added.
     #[must_use]
     pub fn require_keys(mut self) -> Self {
