--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -494,14 +494,12 @@
             self.board.routes.store(Some(Arc::clone(&config.table)));
         }
         if effect.upstreams {
-            self.board
-                .upstreams
-                .store(Arc::new(self.store_view.upstreams()));
+            let upstreams = self.store_view.upstreams();
+            // Before the traffic thread can choose a new upstream.
+            self.observe_cold(&upstreams, self.now());
+            self.board.upstreams.store(Arc::new(upstreams));
             self.publish_versions(self.now());
         }
-        if effect.upstreams || effect.config {
-            self.observe_cold(self.now());
-        }
         self.update_stage();
     }
 
--- a/src/forward_control/control_state/cold_starts.rs
+++ b/src/forward_control/control_state/cold_starts.rs
@@ -1,10 +1,12 @@
 //! What the control thread tells the traffic thread and other routers about cold upstreams.
 
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use super::ControlState;
 use crate::fleet::member_table::MemberRecord;
 use crate::fleet::store_view::{DocumentCodec, MAX_LOGGED_ENTRIES};
+use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::gossip::frames::ColdColumns;
 use crate::mono::MonoTime;
 use crate::policy::cold_upstreams::ColdChange;
@@ -14,11 +16,10 @@
 
 impl<C: DocumentCodec> ControlState<C> {
     /// Compares the entries with those before, to find upstreams that have started.
-    pub(super) fn observe_cold(&self, now: MonoTime) {
+    pub(super) fn observe_cold(&self, upstreams: &[Arc<UpstreamEntry>], now: MonoTime) {
         let Some(table) = self.board.routes.load_full() else {
             return;
         };
-        let upstreams = self.board.upstreams.load();
         let entries = upstreams.iter().filter_map(|entry| {
             let terms = table.service(&entry.service)?.cold?;
             Some((&**entry, terms))
@@ -70,7 +71,7 @@
 
     /// Announces reports again and logs which upstreams are cold or no longer so.
     pub(super) fn update_cold(&self, now: MonoTime) {
-        self.observe_cold(now);
+        self.observe_cold(&self.board.upstreams.load(), now);
         let mut cold = self.board.cold_upstreams();
         if cold.is_empty() {
             return;
