Give a router one memory budget for connections, bodies and responses

Request bodies were limited one by one, so that 28 legal ones filled the smallest VM, and nothing read MemoryMb or MaxFds. Connections, request bodies and responses now share a budget derived from them: stalled bodies and those of the client with the most open give way, an announced length is checked before its bytes are read, and the quietest connection closes first.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -5,6 +5,7 @@
 
 mod attempt_record;
 pub mod body_budget;
+mod body_parts;
 mod call_relay;
 pub mod caller_connections;
 mod choice_record;
@@ -19,6 +20,7 @@
 pub mod front_handler;
 pub mod front_server;
 pub mod http_connection;
+pub mod memory_room;
 mod relay_body;
 pub mod relay_progress;
 mod spliced_head;
--- a/src/forward/body_budget.rs
+++ b/src/forward/body_budget.rs
@@ -8,6 +8,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::forward::memory_room::{MemoryRoom, ResponseRoom, RoomRefusal};
+
 /// Largest body.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
@@ -22,14 +24,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct BodyBudget {
     reserved: Rc<Cell<usize>>,
+    /// The budget of the process, of which these bodies are a part.
+    memory: Option<Rc<MemoryRoom>>,
 }
 
 impl BodyBudget {
+    /// Creates a budget whose bodies are also reserved in that of the process.
+    pub fn within(memory: Rc<MemoryRoom>) -> Self {
+        Self {
+            reserved: Rc::default(),
+            memory: Some(memory),
+        }
+    }
+
     /// Returns the reservation of an empty body.
     pub fn open(&self) -> BodyReservation {
         BodyReservation {
             budget: self.clone(),
             counted: 0,
+            rooms: Vec::new(),
         }
     }
 
@@ -56,6 +69,8 @@
 pub struct BodyReservation {
     budget: BodyBudget,
     counted: usize,
+    /// Reservations in the budget of the process.
+    rooms: Vec<ResponseRoom>,
 }
 
 impl BodyReservation {
@@ -66,13 +81,33 @@
         let counted = bytes.saturating_sub(UNCOUNTED_BYTES).max(self.counted);
         let others = self.budget.reserved.get() - self.counted;
         let is_fair = others + 2 * counted <= MAX_TOTAL_BYTES;
-        let fits = bytes <= MAX_BODY_BYTES && (counted == 0 || is_fair);
+        let fits = bytes <= MAX_BODY_BYTES
+            && (counted == 0 || is_fair)
+            && self.reserve(counted - self.counted, bytes);
         if fits {
             self.budget.reserved.set(others + counted);
             self.counted = counted;
         }
         fits
     }
+
+    /// Reserves `more` bytes of a body of `total` in the budget of the process. A growing buffer may
+    /// take twice its content.
+    fn reserve(&mut self, more: usize, total: usize) -> bool {
+        let Some(memory) = &self.budget.memory else {
+            return true;
+        };
+        if more == 0 {
+            return true;
+        }
+        let room = memory.reserve_response(2 * more, total);
+        if room.is_none() {
+            memory.count_refusal(RoomRefusal::Response);
+        }
+        let is_granted = room.is_some();
+        self.rooms.extend(room);
+        is_granted
+    }
 }
 
 impl Drop for BodyReservation {
--- a/src/forward/caller_connections.rs
+++ b/src/forward/caller_connections.rs
@@ -8,6 +8,7 @@
 
 use ntex::io::{Id, IoRef};
 
+use crate::forward::memory_room::{MemoryRoom, RoomRefusal};
 use crate::forward_board::ForwardBoard;
 use crate::mono::{MonoTime, ProcessClock};
 
@@ -15,6 +16,7 @@
 pub struct CallerConnections {
     board: Arc<ForwardBoard>,
     clock: ProcessClock,
+    memory: Rc<MemoryRoom>,
     open: RefCell<HashMap<Id, OpenConnection>>,
 }
 
@@ -22,6 +24,8 @@
     io: IoRef,
     /// `None` before the first call and while a call is in progress.
     idle: Option<IdlePeriod>,
+    /// Since when no call is in progress; `None` while one is.
+    quiet_since: Option<MonoTime>,
 }
 
 struct IdlePeriod {
@@ -31,10 +35,11 @@
 }
 
 impl CallerConnections {
-    pub fn new(board: Arc<ForwardBoard>, clock: ProcessClock) -> Self {
+    pub fn new(board: Arc<ForwardBoard>, clock: ProcessClock, memory: Rc<MemoryRoom>) -> Self {
         Self {
             board,
             clock,
+            memory,
             open: RefCell::default(),
         }
     }
@@ -42,14 +47,46 @@
     /// Adds a connection and returns its key.
     pub fn insert(&self, io: IoRef) -> Id {
         let id = io.id();
-        let connection = OpenConnection { io, idle: None };
-        self.open.borrow_mut().insert(id, connection);
+        let connection = OpenConnection {
+            io,
+            idle: None,
+            quiet_since: Some(self.clock.now()),
+        };
+        let mut open = self.open.borrow_mut();
+        open.insert(id, connection);
+        self.memory.set_connections(open.len());
         id
     }
 
+    /// Makes room for one more connection: where there is none, closes the one that has sent nothing
+    /// for longest, or else the one with the oldest unfinished head. Returns false if all carry
+    /// calls.
+    pub fn make_room(&self) -> bool {
+        while !self.memory.has_connection() {
+            let open = self.open.borrow();
+            let quiet = open
+                .iter()
+                .filter_map(|(&id, connection)| Some((id, connection, connection.quiet_since?)));
+            let first = quiet
+                .min_by_key(|(_, connection, since)| (has_begun_request(&connection.io), *since));
+            let first = first.map(|(id, connection, _)| (id, connection.io.clone()));
+            drop(open);
+            let Some((id, io)) = first else {
+                self.memory.count_refusal(RoomRefusal::ConnectionRefused);
+                return false;
+            };
+            self.remove(id);
+            io.terminate();
+            self.memory.count_refusal(RoomRefusal::ConnectionClosed);
+        }
+        true
+    }
+
     /// Removes a connection that has ended.
     pub fn remove(&self, id: Id) {
-        self.open.borrow_mut().remove(&id);
+        let mut open = self.open.borrow_mut();
+        open.remove(&id);
+        self.memory.set_connections(open.len());
     }
 
     /// Returns whether a connection has bytes of a response that are not sent yet.
@@ -63,7 +100,7 @@
     /// begun to arrive.
     pub fn close_idle(&self, time: MonoTime) {
         let timeout = self.board.limits().idle_timeout;
-        for OpenConnection { io, idle } in self.open.borrow_mut().values_mut() {
+        for OpenConnection { io, idle, .. } in self.open.borrow_mut().values_mut() {
             let Some(idle) = idle else { continue };
             // The caller may not have the new configuration yet.
             idle.timeout = idle.timeout.max(timeout);
@@ -76,6 +113,7 @@
     fn set_idle(&self, io: &IoRef, idle: Option<IdlePeriod>) {
         // A connection that has ended has lost its ID.
         if let Some(connection) = self.open.borrow_mut().get_mut(&io.id()) {
+            connection.quiet_since = idle.as_ref().map(|idle| idle.since);
             connection.idle = idle;
         }
     }
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -5,16 +5,17 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use ntex::http::body::ResponseBody;
 use ntex::http::{ConnectionType, Version};
 use ntex::io::IoRef;
-use tokio::sync::mpsc::channel;
+use tokio::sync::mpsc::{Sender, channel};
 use tokio::time::timeout;
 
 use crate::dialect::{CallHead, EdgeDialect};
+use crate::forward::body_parts::BodyParts;
 use crate::forward::call_relay::{CallRelay, RelayedResponse};
 use crate::forward::caller_connections::CallerBusyGuard;
 use crate::forward::chunk_source::ChunkSource;
@@ -22,13 +23,15 @@
 use crate::forward::framing_limit::await_overlong_framing;
 use crate::forward::front_call::FrontCall;
 use crate::forward::http_connection::TaskGuard;
+use crate::forward::memory_room::{BodyRoom, MemoryRoom};
 use crate::forward::relay_body::{GuardedBody, RelayBody, StreamChunk};
 use crate::forward::traffic_state::TrafficState;
 use crate::forward::upstream_response::{CallPlan, FullResponse, OpenStream, UpstreamResponse};
-use crate::forward_board::{ForwardBoard, ForwardStage};
+use crate::forward_board::ForwardStage;
 use crate::mono::MonoTime;
 use crate::policy::boot_refusal::boot_retry_after;
 use crate::policy::call_attempts::CallFailure;
+use crate::policy::memory_budget::ClientKey;
 use crate::policy::spent_attempts::SpentAttempts;
 use crate::route::{AccountGrant, RouteRule, RouteTable};
 
@@ -39,12 +42,16 @@
 /// not take them.
 const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Value of `retry-after` for calls whose bodies have no room. Bodies that stall lose theirs in about
+/// this time.
+const ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Value of `retry-after` for calls that can't take up a stream: records of other routers or new
 /// upstreams of a version take about as long.
 const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Number of stream chunks that are buffered for a slow caller. A chunk has up to 400 KB if the
-/// upstream sends faster than the caller reads.
+/// Number of stream chunks that are buffered for a slow caller while there is memory, and one
+/// otherwise. A chunk has up to 64 KB, or one event, if the upstream sends faster than the caller reads.
 const MAX_BUFFERED_CHUNKS: usize = 4;
 
 /// A response that this router generates itself, without an upstream.
@@ -254,7 +261,11 @@
     let deadline = began + limit.min(route.time_limit);
     check_stop(state, &route, deadline)?;
     let body_bytes = table.limits.body_bytes.0 as usize;
-    let body = read_body(state, request, body_bytes, deadline).await?;
+    let client = ClientKey {
+        address: request.peer_addr().map(|address| address.ip()),
+        account: grant.as_ref().map(|grant| grant.account.clone()),
+    };
+    let (body, room) = read_body(state, request, client, body_bytes, deadline).await?;
     // The body may have taken most of the time that was left.
     check_stop(state, &route, deadline)?;
     Ok(CallPlan {
@@ -263,6 +274,7 @@
         grant,
         head,
         body,
+        room,
         began,
         deadline,
     })
@@ -321,13 +333,27 @@
 async fn read_body<D: EdgeDialect>(
     state: &Rc<TrafficState<D>>,
     request: &mut ntex::http::Request,
+    client: ClientKey,
     limit: usize,
     deadline: MonoTime,
-) -> Result<Bytes, LocalResponse> {
+) -> Result<(Bytes, BodyRoom), LocalResponse> {
+    let too_large = LocalResponse::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+    let announced = announced_length(request);
+    if announced.is_some_and(|bytes| bytes > limit) {
+        return Err(too_large);
+    }
+    let no_room = || LocalResponse {
+        retry_after: Some(ROOM_RETRY_AFTER),
+        ..LocalResponse::not_run("no memory for the body now")
+    };
+    let room = state
+        .memory
+        .open_body(client, announced, limit)
+        .ok_or_else(no_room)?;
     let mut payload = request.take_payload();
     let connection = request.io();
     let too_slow = LocalResponse::new(StatusCode::REQUEST_TIMEOUT, "body too slow");
-    let mut body = BytesMut::new();
+    let mut body = BodyParts::default();
     loop {
         let left = deadline.since(state.now());
         if left.is_zero() {
@@ -340,26 +366,34 @@
             () = await_overlong_framing(connection) => {
                 return Err(LocalResponse::new(StatusCode::BAD_REQUEST, "body without chunks"));
             }
+            () = room.lost() => return Err(no_room()),
             () = state.board.await_calls_end() => return Err(LocalResponse::not_run("router stops")),
         }) else {
             return Err(too_slow);
         };
         match chunk {
-            None => return Ok(body.freeze()),
+            None if room.complete() => return Ok((body.join(), room)),
             Some(Err(_)) => {
                 return Err(LocalResponse::new(StatusCode::BAD_REQUEST, "body broken"));
             }
-            Some(Ok(bytes)) if body.len() + bytes.len() > limit => {
-                return Err(LocalResponse::new(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "body too large",
-                ));
-            }
-            Some(Ok(bytes)) => body.extend_from_slice(&bytes),
+            Some(Ok(bytes)) if body.len() + bytes.len() > limit => return Err(too_large),
+            Some(Ok(bytes)) if room.grow(bytes.len()) => body.push(&bytes),
+            None | Some(Ok(_)) => return Err(no_room()),
         }
     }
 }
 
+/// Returns the length that a request announces for its body. A malformed one is left to the HTTP
+/// library.
+fn announced_length(request: &ntex::http::Request) -> Option<usize> {
+    let length = request
+        .headers()
+        .get(ntex::http::header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?;
+    length.trim().parse().ok()
+}
+
 /// Makes the attempts of a call. A caller without chunks gets a stream as a whole.
 async fn forward_call<D: EdgeDialect>(
     call: &mut FrontCall<D>,
@@ -402,7 +436,7 @@
         Ok(UpstreamResponse::Full(response)) => {
             timer.record();
             call.finish("answered", response.status.as_u16());
-            Ok(full_response(response))
+            Ok(full_response(state, response))
         }
         Ok(UpstreamResponse::Stream(mut stream)) => {
             let (status, headers) = (stream.status, std::mem::take(&mut stream.headers));
@@ -412,7 +446,7 @@
             };
             let end = move |source: CallStream<D>, outcome| source.finish(outcome, status, timer);
             let task = StreamTask { source, open, end };
-            Ok(task.respond(&state.board, status, &headers, caller.io))
+            Ok(task.respond(state, status, &headers, caller.io))
         }
         Err(CallFailure::NotRun)
             if let Some(relay) = CallRelay::for_call(state, &plan, call.spent()) =>
@@ -456,7 +490,7 @@
         () = state.board.await_calls_end() => return Err(LocalResponse::stopped()),
     };
     match relayed {
-        RelayedResponse::Full(response) => Ok(full_response(response)),
+        RelayedResponse::Full(response) => Ok(full_response(state, response)),
         RelayedResponse::Stream(mut stream) if caller.has_chunks => {
             let (status, headers) = (stream.status, std::mem::take(&mut stream.headers));
             let task = StreamTask {
@@ -464,11 +498,11 @@
                 open,
                 end: |_, _| {},
             };
-            Ok(task.respond(&state.board, status, &headers, caller.io))
+            Ok(task.respond(state, status, &headers, caller.io))
         }
         RelayedResponse::Stream(stream) => {
             let response = stream.read_to_end(&state.body_budget).await?;
-            Ok(full_response(response))
+            Ok(full_response(state, response))
         }
     }
 }
@@ -486,8 +520,12 @@
     }
 }
 
-fn full_response(upstream: FullResponse) -> FrontResponse {
-    let body = RelayBody::Full(Some(upstream.body));
+fn full_response<D: EdgeDialect>(
+    state: &Rc<TrafficState<D>>,
+    upstream: FullResponse,
+) -> FrontResponse {
+    let room = state.memory.hold_response(upstream.body.len());
+    let body = RelayBody::Full(Some(upstream.body), Some(room));
     response_with(upstream.status, &upstream.headers, body)
 }
 
@@ -540,13 +578,14 @@
     /// Spawns the task and returns the response that it feeds.
     fn respond(
         self,
-        board: &Arc<ForwardBoard>,
+        state: &Rc<TrafficState<D>>,
         status: StatusCode,
         headers: &HeaderMap,
         caller: Option<IoRef>,
     ) -> FrontResponse {
         let (sender, chunks) = channel(MAX_BUFFERED_CHUNKS);
-        let board = Arc::clone(board);
+        let board = Arc::clone(&state.board);
+        let memory = Rc::clone(&state.memory);
         let unread = caller.clone();
         let Self {
             mut source,
@@ -557,7 +596,7 @@
             let _open = open;
             let outcome = tokio::select! {
                 biased;
-                outcome = relay(&mut source, &sender) => outcome,
+                outcome = relay(&mut source, &sender, &memory) => outcome,
                 () = board.await_calls_end() => "stopped",
             };
             end(source, outcome);
@@ -581,11 +620,25 @@
 /// Relays a stream to its end, or until the deadline of the call. Returns the outcome for the log.
 async fn relay<S: ChunkSource>(
     source: &mut S,
-    sender: &tokio::sync::mpsc::Sender<StreamChunk>,
+    sender: &Sender<StreamChunk>,
+    memory: &Rc<MemoryRoom>,
 ) -> &'static str {
     loop {
         let chunk = match source.next_chunk().await {
-            Ok(Some(events)) => StreamChunk::Events(events),
+            Ok(Some(events)) => {
+                // The buffers that the events are cut from may be twice as large. Together with the
+                // other chunks of the stream they are no small body.
+                let bytes = 2 * events.len();
+                let room = match memory.reserve_response(bytes, usize::MAX) {
+                    Some(room) => room,
+                    // Where memory is short, a stream holds one chunk.
+                    None => match timeout(source.time_left(), await_empty(sender)).await {
+                        Ok(()) => memory.hold_response(bytes),
+                        Err(_) => return "unread",
+                    },
+                };
+                StreamChunk::Events(events, room)
+            }
             Ok(None) => StreamChunk::End,
             Err(failure) => return failure_label(failure),
         };
@@ -601,6 +654,12 @@
     }
 }
 
+/// Waits until all chunks were taken, or the receiver is gone.
+async fn await_empty(sender: &Sender<StreamChunk>) {
+    // Fails if the receiver is gone, which the next send finds as well.
+    let _ = sender.reserve_many(MAX_BUFFERED_CHUNKS).await;
+}
+
 /// Copies an upstream's headers to the response, without hop-by-hop headers.
 fn copy_response_headers(headers: &HeaderMap, response: &mut FrontResponse) {
     let named = connection_options(headers);
@@ -617,7 +676,7 @@
 }
 
 fn local_response<D: EdgeDialect>(dialect: &D, local: &LocalResponse) -> FrontResponse {
-    let body = RelayBody::Full(Some(Bytes::from_static(local.reason.as_bytes())));
+    let body = RelayBody::Full(Some(Bytes::from_static(local.reason.as_bytes())), None);
     let mut response = ntex::http::Response::with_body(local.status, body);
     if let Some(sends) = local.sends {
         let name = ntex::http::header::HeaderName::from_bytes(dialect.sends_header().as_ref());
--- a/src/forward/front_server.rs
+++ b/src/forward/front_server.rs
@@ -102,6 +102,10 @@
             .and_then(|socket| ntex::rt::from_tcp_stream(socket, config.clone()));
         match io {
             Ok(io) => {
+                // Dropping the connection closes it.
+                if !state.callers.make_room() {
+                    continue;
+                }
                 let caller = CallerGuard::new(Rc::clone(&state), io.get_ref());
                 let connection = pipeline.call_static(io);
                 tokio::task::spawn_local(async move {
@@ -282,7 +286,7 @@
 }
 
 fn short_response(status: StatusCode, body: Bytes, content_type: &'static str) -> FrontResponse {
-    let mut response = Response::with_body(status, RelayBody::Full(Some(body)));
+    let mut response = Response::with_body(status, RelayBody::Full(Some(body), None));
     response.headers_mut().insert(
         ntex::http::header::CONTENT_TYPE,
         ntex::http::header::HeaderValue::from_static(content_type),
--- a/src/forward/http_connection.rs
+++ b/src/forward/http_connection.rs
@@ -28,6 +28,7 @@
 
 use crate::forward::framing_scan::FramingScan;
 use crate::policy::call_attempts::AttemptFault;
+use crate::policy::response_head_check::is_http_status;
 
 /// Time without a TCP acknowledgement after which the kernel closes a connection
 /// (`TCP_USER_TIMEOUT`).
@@ -38,6 +39,10 @@
 
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
 
+/// Largest read buffer of a connection, and so the largest part of a body that is read at once. The
+/// library's own limit is 400 KB, of which a few hundred unread streams would hold several each.
+const MAX_BUFFERED_BYTES: usize = MAX_RESPONSE_HEAD_BYTES;
+
 /// Bytes that may be read without yielding a response head or a part of a body. The HTTP library
 /// limits heads and trailers, but reads interim responses and zeros of a chunk size without end.
 const MAX_UNPARSED_BYTES: usize = 1 << 20;
@@ -46,6 +51,10 @@
 #[derive(Debug, Default)]
 struct SocketProgress {
     written: AtomicUsize,
+    /// Lower bound of the length of the current request, in bytes: path and body.
+    expected: AtomicUsize,
+    /// Whether a write failed.
+    has_failed: AtomicBool,
     /// Bytes written before the current request.
     written_before: AtomicUsize,
     flushed: AtomicBool,
@@ -67,8 +76,9 @@
         self.unparsed.fetch_add(bytes, Ordering::Relaxed) + bytes <= MAX_UNPARSED_BYTES
     }
 
-    /// Marks the start of a request.
-    fn start_request(&self) {
+    /// Marks the start of a request of more than `expected` bytes.
+    fn start_request(&self, expected: usize) {
+        self.expected.store(expected, Ordering::Relaxed);
         let written = self.written.load(Ordering::Relaxed);
         self.written_before.store(written, Ordering::Relaxed);
         self.awaits_response.store(true, Ordering::Relaxed);
@@ -76,6 +86,20 @@
         self.reset_unparsed();
     }
 
+    /// Returns whether the current request was written completely.
+    fn has_written_all(&self) -> bool {
+        self.flushed.load(Ordering::Relaxed)
+            && self.request_bytes() > self.expected.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the end of the peer's bytes may be the end of a body: not if the request was
+    /// not written completely, or a write failed. A failed write takes the error of a reset, and the
+    /// next read finds the end of the connection in its place.
+    fn may_end(&self) -> bool {
+        let is_idle = self.request_bytes() == 0;
+        !self.has_failed.load(Ordering::Relaxed) && (is_idle || self.has_written_all())
+    }
+
     /// Returns the number of bytes of the current request that were written.
     fn request_bytes(&self) -> usize {
         self.written.load(Ordering::Relaxed) - self.written_before.load(Ordering::Relaxed)
@@ -125,6 +149,13 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let result = Pin::new(&mut self.socket).poll_read(cx, buf);
+        let is_end = matches!(result, Poll::Ready(Ok(())))
+            && buf.remaining() > 0
+            && buf.filled().len() == before;
+        if is_end && (!self.progress.may_end() || self.socket.peer_addr().is_err()) {
+            // The kernel has no peer for a connection that was reset.
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
         self.scan_response(&buf.filled()[before..]);
         if !self.progress.count_read(buf.filled().len() - before) {
             let error = "1 MiB without a response head or a part of a body";
@@ -146,8 +177,12 @@
         }
         let result = Pin::new(&mut self.socket).poll_write(cx, buf);
         self.progress.flushed.store(false, Ordering::Relaxed);
-        if let Poll::Ready(Ok(count)) = result {
-            self.progress.written.fetch_add(count, Ordering::Relaxed);
+        match result {
+            Poll::Ready(Ok(count)) => {
+                self.progress.written.fetch_add(count, Ordering::Relaxed);
+            }
+            Poll::Ready(Err(_)) => self.progress.has_failed.store(true, Ordering::Relaxed),
+            Poll::Pending => {}
         }
         result
     }
@@ -185,8 +220,6 @@
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     progress: Arc<SocketProgress>,
-    /// Lower bound of the length of the current request, in bytes: path and body.
-    min_request_bytes: usize,
     _task: TaskGuard,
 }
 
@@ -221,6 +254,7 @@
         };
         let (sender, connection) = Builder::new()
             .max_header_size(MAX_RESPONSE_HEAD_BYTES)
+            .max_buf_size(MAX_BUFFERED_BYTES)
             .handshake::<_, Full<Bytes>>(TokioIo::new(socket))
             .await
             .map_err(io::Error::other)?;
@@ -232,7 +266,6 @@
         Ok(Self {
             sender,
             progress,
-            min_request_bytes: 0,
             _task: task,
         })
     }
@@ -249,12 +282,13 @@
         request: Request<Full<Bytes>>,
         body_bytes: usize,
     ) -> Result<Response<Incoming>, AttemptFault> {
-        self.min_request_bytes = body_bytes + request.uri().path().len();
-        self.progress.start_request();
+        let expected = body_bytes + request.uri().path().len();
+        self.progress.start_request(expected);
         let result = self.sender.try_send_request(request).await;
         self.progress.reset_unparsed();
         match result {
-            Ok(response) => Ok(response),
+            Ok(response) if is_http_status(response.status().as_u16()) => Ok(response),
+            Ok(_) => Err(AttemptFault::BadAnswer),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let error = error.into_error();
@@ -284,15 +318,9 @@
         self.progress.request_bytes() > 0
     }
 
-    /// Returns whether the current request was written completely.
-    fn has_written_all(&self) -> bool {
-        self.progress.flushed.load(Ordering::Relaxed)
-            && self.progress.request_bytes() > self.min_request_bytes
-    }
-
     /// Returns whether the connection may carry another call after the response to the current one:
     /// the request was written completely, and the response has one end.
     pub fn can_continue(&self) -> bool {
-        self.has_written_all() && !self.progress.has_two_framings.load(Ordering::Relaxed)
+        self.progress.has_written_all() && !self.progress.has_two_framings.load(Ordering::Relaxed)
     }
 }
--- a/src/forward/relay_body.rs
+++ b/src/forward/relay_body.rs
@@ -11,19 +11,24 @@
 
 use crate::forward::caller_connections::CallerBusyGuard;
 use crate::forward::http_connection::TaskGuard;
+use crate::forward::memory_room::ResponseRoom;
+
+/// Largest part of a body that is handed to the HTTP library at once.
+const MAX_PART_BYTES: usize = 64 << 10;
 
 /// A chunk of a relayed event stream.
 pub enum StreamChunk {
     /// One or more complete events.
-    Events(Bytes),
+    Events(Bytes, ResponseRoom),
     /// The stream is complete.
     End,
 }
 
 /// Body of a response to a caller.
 pub enum RelayBody {
-    /// A body that was read completely before the response began.
-    Full(Option<Bytes>),
+    /// The unsent rest of a body that was read completely before the response began, and its
+    /// memory. It is handed over in parts, so that the HTTP library copies no more than it sends.
+    Full(Option<Bytes>, Option<ResponseRoom>),
     /// A stream that is relayed while it arrives. Dropping the body aborts the task that feeds it.
     Stream {
         /// Chunks from the task.
@@ -40,7 +45,7 @@
 impl MessageBody for RelayBody {
     fn size(&self) -> BodySize {
         match self {
-            Self::Full(body) => BodySize::Sized(body.as_ref().map_or(0, |b| b.len() as u64)),
+            Self::Full(body, _) => BodySize::Sized(body.as_ref().map_or(0, |b| b.len() as u64)),
             Self::Stream { .. } => BodySize::Stream,
         }
     }
@@ -50,7 +55,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<ntex::util::Bytes, Rc<dyn Error>>>> {
         match self {
-            Self::Full(body) => Poll::Ready(body.take().map(|body| Ok(to_ntex(&body)))),
+            Self::Full(body, _) => Poll::Ready(next_part(body).map(|part| Ok(to_ntex(&part)))),
             Self::Stream {
                 chunks,
                 caller,
@@ -62,7 +67,7 @@
                 }
                 match chunks.poll_recv(cx) {
                     Poll::Pending => Poll::Pending,
-                    Poll::Ready(Some(StreamChunk::Events(events))) => {
+                    Poll::Ready(Some(StreamChunk::Events(events, _))) => {
                         Poll::Ready(Some(Ok(to_ntex(&events))))
                     }
                     Poll::Ready(Some(StreamChunk::End)) => {
@@ -108,6 +113,14 @@
     }
 }
 
+fn next_part(body: &mut Option<Bytes>) -> Option<Bytes> {
+    let rest = body.as_mut()?;
+    if rest.len() <= MAX_PART_BYTES {
+        return body.take();
+    }
+    Some(rest.split_to(MAX_PART_BYTES))
+}
+
 fn to_ntex(bytes: &Bytes) -> ntex::util::Bytes {
     ntex::util::Bytes::copy_from_slice(bytes)
 }
--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -22,6 +22,7 @@
 use crate::forward::body_budget::BodyBudget;
 use crate::forward::caller_connections::CallerConnections;
 use crate::forward::connection_pool::ConnectionPool;
+use crate::forward::memory_room::MemoryRoom;
 use crate::forward::upstream_gates::{ConnectionGate, RateGate, StatementGate, TriedGate};
 use crate::forward::upstream_response::CallPlan;
 use crate::forward_board::ForwardBoard;
@@ -97,6 +98,8 @@
     /// Idle connections to upstreams.
     pub pool: RefCell<ConnectionPool>,
     pub callers: Rc<CallerConnections>,
+    /// Memory of connections, of request bodies and of responses.
+    pub memory: Rc<MemoryRoom>,
     /// Memory of the response bodies that are being read.
     pub body_budget: BodyBudget,
     upstream_stats: RefCell<HashMap<UpstreamKey, UpstreamStats>>,
@@ -192,7 +195,10 @@
         clock: ProcessClock,
         telemetry: PrometheusMetrics,
     ) -> Self {
-        let callers = Rc::new(CallerConnections::new(Arc::clone(&board), clock));
+        let terms = board.settings.load().budget_terms();
+        let memory = Rc::new(MemoryRoom::new(terms, clock, telemetry.clone()));
+        let connections = CallerConnections::new(Arc::clone(&board), clock, Rc::clone(&memory));
+        let callers = Rc::new(connections);
         Self {
             dialect,
             board,
@@ -200,7 +206,8 @@
             telemetry,
             pool: RefCell::default(),
             callers,
-            body_budget: BodyBudget::default(),
+            body_budget: BodyBudget::within(Rc::clone(&memory)),
+            memory,
             upstream_stats: RefCell::default(),
             retry_windows: RefCell::default(),
             call_times: RefCell::default(),
@@ -859,6 +866,7 @@
     /// for too long. Also logs how many lines the rate limits dropped, and updates the metrics.
     pub fn sweep(&self) {
         self.log_dropped_lines();
+        self.memory.sweep(self.board.settings.load().budget_terms());
         let upstreams = self.board.upstreams.load();
         let known = |key: UpstreamKey| upstreams.iter().any(|entry| entry.id.key() == key);
         self.upstream_stats
--- a/src/forward/upstream_response.rs
+++ b/src/forward/upstream_response.rs
@@ -13,6 +13,7 @@
 use crate::forward::connection_headers::connection_options;
 use crate::forward::event_batch::EventBatch;
 use crate::forward::front_call::stream_source::StreamSource;
+use crate::forward::memory_room::BodyRoom;
 use crate::ids::AccountId;
 use crate::mono::MonoTime;
 use crate::route::{AccountGrant, PriorityRank, RouteRule, RouteTable};
@@ -27,6 +28,8 @@
     pub grant: Option<Arc<AccountGrant>>,
     pub head: CallHead,
     pub body: Bytes,
+    /// The memory of the body.
+    pub room: BodyRoom,
     /// When the request head arrived.
     pub began: MonoTime,
     /// When the complete response is due.
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -762,6 +762,8 @@
             stop_grace: settings.stop_grace,
             drain_time: settings.drain_time,
             locate_ttl: settings.locate_ttl,
+            memory_bytes: settings.memory_bytes,
+            max_descriptors: settings.max_descriptors,
             ..(*before).clone()
         };
         spdlog::info!("settings-reloaded", kv: { cause: = cause });
--- a/src/forward_node.rs
+++ b/src/forward_node.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use ntex::rt::{DefaultRuntime, System};
+use socket2::SockRef;
+use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
 use crate::dialect::EdgeDialect;
@@ -25,6 +27,9 @@
 /// Interval between two cleanups of the traffic thread's state.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
+/// Receive buffer of a caller's connection: over a round trip of 3 ms it carries 170 Mbit/s.
+const UNREAD_BYTES: usize = 64 << 10;
+
 /// Runs a forwarding router, with the control thread in the background and traffic on the calling
 /// thread. Returns when the router has stopped.
 pub fn run_forwarder<D, C, S, F>(dialect: D, codec: C, store: S, source: F) -> RouterResult<()>
@@ -61,6 +66,9 @@
         let settings = board.settings.load_full();
         let state = Rc::new(TrafficState::new(dialect, board, clock, telemetry));
         let front = listen(settings.front)?;
+        if settings.memory_bytes.is_some() {
+            limit_unread_bytes(&front);
+        }
         let mut query_addresses = vec![settings.ready, settings.locator];
         let metrics = std::net::SocketAddrV4::new(settings.address, settings.metrics_port);
         query_addresses.push(metrics);
@@ -78,6 +86,14 @@
     })
 }
 
+/// Bounds what the kernel keeps for callers that send faster than their bytes are read, since it
+/// counts towards the memory of the VM. Accepted connections inherit the bound.
+fn limit_unread_bytes(listener: &TcpListener) {
+    if let Err(error) = SockRef::from(listener).set_recv_buffer_size(UNREAD_BYTES) {
+        spdlog::warn!("socket-option", kv: { reason: = error });
+    }
+}
+
 fn control_thread<C, S, F>(start: ControlStart<C, S, F>) -> RouterResult<()>
 where
     C: DocumentCodec + 'static,
--- a/src/forward_settings.rs
+++ b/src/forward_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::{DataCenterId, VmId};
+use crate::policy::memory_budget::BudgetTerms;
 use crate::policy::retry_window::RetryTerms;
 use crate::policy::upstream_choice::AffinityBound;
 
@@ -46,4 +47,15 @@
     pub drain_time: Duration,
     /// Longest time for which callers may cache a locate response.
     pub locate_ttl: Duration,
+    /// Memory of the VM in bytes, `None` if it sets no limit.
+    pub memory_bytes: Option<usize>,
+    /// Number of descriptors that the VM allows, `None` if it sets no limit.
+    pub max_descriptors: Option<usize>,
+}
+
+impl ForwardSettings {
+    /// Returns what callers may use of the VM's memory and descriptors.
+    pub fn budget_terms(&self) -> BudgetTerms {
+        BudgetTerms::new(self.memory_bytes, self.max_descriptors)
+    }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,6 +16,7 @@
 pub mod leaving_upstreams;
 pub mod load_bound;
 pub mod locate_choice;
+pub mod memory_budget;
 pub mod placement;
 pub mod prompt_load;
 pub mod rank_shares;
--- a/src/policy/response_head_check.rs
+++ b/src/policy/response_head_check.rs
@@ -1,6 +1,8 @@
 //! Decides from an upstream's response head whether the response goes to the caller or the attempt
 //! counts as failed.
 
+use std::ops::RangeInclusive;
+
 use crate::policy::call_attempts::AttemptFault;
 
 /// Misdirected Request: another upstream has taken over the address.
@@ -10,10 +12,19 @@
 /// below 200.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
+/// Statuses of HTTP. The HTTP library reads any from 100 to 999.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Statuses that suggest that the call did not run. Only the upstream's explicit "not executed"
 /// mark proves it.
 const UNPROVEN_REFUSALS: [u16; 3] = [408, 429, 503];
 
+/// Returns whether a status is one of HTTP. A response with another one comes from an upstream that
+/// fails: it is no answer, and the call may have run.
+pub fn is_http_status(status: u16) -> bool {
+    STATUSES.contains(&status)
+}
+
 /// The kind of body that a response head announces.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyKind {
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -82,6 +82,10 @@
     pub calls_open: IntGauge,
     /// Number of idle connections to upstreams.
     pub idle_links: IntGauge,
+    /// Bytes that are reserved in the memory budget, by purpose.
+    pub memory_reserved: IntGaugeVec,
+    /// Number of bodies, responses and connections that had no room, by reason.
+    pub room_refusals: IntCounterVec,
 }
 
 impl PrometheusMetrics {
@@ -105,6 +109,7 @@
         let (take_ups, store_checks) = register_take_ups(&registry)?;
         let (relayed, relayed_accounts) = register_relays(&registry)?;
         let (unreadable_frames, routers_without) = register_peers(&registry)?;
+        let (memory_reserved, room_refusals) = register_room(&registry)?;
         Ok(Self {
             calls: counters("calls_total", "Finished calls", &["kind", "outcome"])?,
             call_seconds,
@@ -179,6 +184,8 @@
             suspects_held: gauge("suspects_held", "Prompt parts and calls that are held back")?,
             calls_open: gauge("calls_open", "Calls in progress")?,
             idle_links: gauge("idle_links", "Idle connections to upstreams")?,
+            memory_reserved,
+            room_refusals,
             registry,
         })
     }
@@ -259,6 +266,25 @@
     Ok((unreadable, without))
 }
 
+/// Registers the metrics of the memory budget.
+fn register_room(registry: &Registry) -> Result<(IntGaugeVec, IntCounterVec), prometheus::Error> {
+    let reserved = IntGaugeVec::new(
+        Opts::new(
+            "memory_reserved_bytes",
+            "Bytes reserved in the memory budget",
+        ),
+        &["purpose"],
+    )?;
+    registry.register(Box::new(reserved.clone()))?;
+    let refusals = register_counters(
+        registry,
+        "room_refusals_total",
+        "Bodies, responses and connections that had no room",
+        &["reason"],
+    )?;
+    Ok((reserved, refusals))
+}
+
 /// Registers the histograms of the times of calls and of first events.
 fn register_latencies(registry: &Registry) -> Result<(HistogramVec, Histogram), prometheus::Error> {
     let opts =
