--- a/src/forward/front_server.rs
+++ b/src/forward/front_server.rs
@@ -1,6 +1,7 @@
 //! The listeners of a forwarding router: one for calls, and those for readiness, router addresses
 //! and metrics.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -45,6 +46,10 @@
 /// Interval at which a router that reaches no upstream tries to connect to one.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Number of open connections of a listener for queries, each of which is answered at once. Above it,
+/// the oldest one is closed, since callers without a query could take all descriptors.
+const MAX_QUERY_CONNECTIONS: usize = 128;
+
 /// Interval at which idle callers' connections are closed.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -200,6 +205,7 @@
         return;
     };
     let pipeline = Pipeline::new(created);
+    let mut open: VecDeque<IoRef> = VecDeque::new();
     loop {
         let io = match listener.accept().await {
             Ok((socket, _)) => {
@@ -214,6 +220,15 @@
         };
         match io {
             Ok(io) => {
+                if open.len() >= MAX_QUERY_CONNECTIONS {
+                    open.retain(|io| !io.is_closed());
+                }
+                if open.len() >= MAX_QUERY_CONNECTIONS
+                    && let Some(oldest) = open.pop_front()
+                {
+                    oldest.terminate();
+                }
+                open.push_back(io.get_ref());
                 let connection = pipeline.call_static(io);
                 tokio::task::spawn_local(async move {
                     let _ = connection.await;
--- a/src/policy/memory_budget.rs
+++ b/src/policy/memory_budget.rs
@@ -43,15 +43,16 @@
 
 impl BudgetTerms {
     /// Derives the terms from the memory and the descriptors of the VM; `None` stands for no limit.
-    /// A quarter of the descriptors is left for upstreams, peers and the store, a quarter of the
-    /// memory for what the allocator and the kernel add.
+    /// Each call may need a second descriptor for its upstream, so that callers get two fifths of
+    /// them; the rest is left for peers and the store. A quarter of the memory is left for what the
+    /// allocator and the kernel add.
     pub fn new(memory: Option<usize>, descriptors: Option<usize>) -> Self {
         let (bytes, by_memory) = memory.map_or((usize::MAX, usize::MAX), |memory| {
             let bytes = memory.saturating_sub(BASE_BYTES) / 4 * 3;
             (bytes, (bytes / 2 / CONNECTION_BYTES).max(1))
         });
         let by_descriptors = descriptors.map_or(usize::MAX, |count| {
-            (count.saturating_sub(FILE_DESCRIPTORS) / 4 * 3).max(1)
+            (count.saturating_sub(FILE_DESCRIPTORS) / 5 * 2).max(1)
         });
         Self {
             bytes,
@@ -188,9 +189,9 @@
         now: MonoTime,
     ) -> Option<BodyId> {
         let bytes = announced.unwrap_or(0);
-        let stalled = self.bodies.values().filter(|body| is_stalled(body, now));
-        let stalled: usize = stalled.map(|body| body.held).sum();
-        if self.free(bytes).saturating_add(stalled) < bytes.saturating_mul(BODY_COPIES) {
+        let needed = bytes.saturating_mul(BODY_COPIES);
+        let free = self.free(bytes);
+        if free < needed && free.saturating_add(self.stalled_bytes(now)) < needed {
             return None;
         }
         let id = BodyId(self.next_id);
@@ -206,6 +207,11 @@
         Some(id)
     }
 
+    fn stalled_bytes(&self, now: MonoTime) -> usize {
+        let stalled = self.bodies.values().filter(|body| is_stalled(body, now));
+        stalled.map(|body| body.held).sum()
+    }
+
     /// Reserves room for `bytes` more of a body. A body that lost its room is refused.
     pub fn grow_body(&mut self, id: BodyId, bytes: usize, now: MonoTime) -> RoomDecision {
         let Some(body) = self.bodies.get_mut(&id) else {
