--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -524,7 +524,8 @@
     state: &Rc<TrafficState<D>>,
     upstream: FullResponse,
 ) -> FrontResponse {
-    let room = state.memory.hold_response(upstream.body.len());
+    // The buffer that the body was read into may be twice as large.
+    let room = state.memory.hold_response(2 * upstream.body.len());
     let body = RelayBody::Full(Some(upstream.body), Some(room));
     response_with(upstream.status, &upstream.headers, body)
 }
