Test odd statuses at the product's own client

Statuses outside 100 to 599 from a service (600, 999, two and four digits, signs, blanks) are no answer to HttpClient, and the call may have run.

--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -81,6 +81,24 @@
     }
 }
 
+#[ntex::test]
+async fn odd_statuses_are_no_answers() {
+    let (address, answers) = start_server();
+    let client = HttpClient::new(ClientLimits {
+        connect_timeout: Duration::from_secs(5),
+        response_timeout: Duration::from_secs(30),
+        body_bytes: 1024,
+    });
+    for status in ["000", "099", "600", "999", "20", "2000", "+20", ""] {
+        let sent = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 4\r\n\r\nodd!").into_bytes();
+        let end_by_reset = false;
+        let odd = BrokenAnswer { sent, end_by_reset };
+        answers.send(odd).expect("the server runs");
+        let error = read_answer(&client, address).await.expect_err(status);
+        assert!(!error.not_run(), "{status:?}: {error}");
+    }
+}
+
 #[ntex::test]
 async fn cut_documents_are_no_documents() {
     let (SocketAddr::V4(peer), answers) = start_server() else {
