Close the connection that has sent no head for longest

make_room looked at the timer of the head, which the HTTP library also runs on a connection without a byte, so that idle kept connections were closed before silent new ones of any age. The time since the last call decides alone now.

--- a/src/forward/body_budget.rs
+++ b/src/forward/body_budget.rs
@@ -16,8 +16,8 @@
 /// Size up to which a body doesn't count, so that common responses always find room.
 const UNCOUNTED_BYTES: usize = 64 << 10;
 
-/// Sum of all bodies, above what isn't counted. The smallest VM has 260 MB, and a growing buffer
-/// may take twice its content.
+/// Sum of all bodies, above what isn't counted, also where the settings name no memory. A growing
+/// buffer may take twice its content.
 const MAX_TOTAL_BYTES: usize = 48 << 20;
 
 /// The bytes that the bodies of a traffic thread have reserved.
--- a/src/forward/caller_connections.rs
+++ b/src/forward/caller_connections.rs
@@ -58,18 +58,16 @@
         id
     }
 
-    /// Makes room for one more connection: where there is none, closes the one that has sent nothing
-    /// for longest, or else the one with the oldest unfinished head. Returns false if all carry
-    /// calls.
+    /// Makes room for one more connection: where there is none, closes the one that has sent no
+    /// complete head for longest. Returns false if all carry calls.
     pub fn make_room(&self) -> bool {
         while !self.memory.has_connection() {
             let open = self.open.borrow();
             let quiet = open
                 .iter()
-                .filter_map(|(&id, connection)| Some((id, connection, connection.quiet_since?)));
-            let first = quiet
-                .min_by_key(|(_, connection, since)| (has_begun_request(&connection.io), *since));
-            let first = first.map(|(id, connection, _)| (id, connection.io.clone()));
+                .filter_map(|(&id, connection)| Some((connection.quiet_since?, id, connection)));
+            let first = quiet.min_by_key(|(since, ..)| *since);
+            let first = first.map(|(_, id, connection)| (id, connection.io.clone()));
             drop(open);
             let Some((id, io)) = first else {
                 self.memory.count_refusal(RoomRefusal::ConnectionRefused);
