Copy cached prompts between upstreams on shared hosts

Cause: copies needed 250 tokens a millisecond, several times the speed of any engine. The lending workload copies 198 a millisecond and reads 62, less while a host is slow, so each overflow and each replaced upstream read its prompts again. Other services are served as before.

--- a/src/forward/traffic_state.rs
+++ b/src/forward/traffic_state.rs
@@ -60,6 +60,9 @@
 /// speed at which any engine computes them.
 const MIN_COPY_TOKENS_PER_MS: f64 = 250.0;
 
+/// The same at upstreams that share their hosts: these compute slowly at times, but copy as fast.
+const MIN_SHARED_HOST_COPY_TOKENS_PER_MS: f64 = 150.0;
+
 /// Minimum length of the shared part for a copy: computing this many tokens takes about as long as
 /// the request for the copy.
 const MIN_COPY_TOKENS: u32 = 100;
@@ -183,15 +186,6 @@
     }
 }
 
-/// Returns whether the upstreams of a service copy cached prompt parts from each other faster than
-/// they compute them.
-fn copy_is_faster(table: &RouteTable, service: &ServiceId) -> bool {
-    let tokens_per_ms = table
-        .service(service)
-        .map_or(0.0, |rule| rule.copied_tokens_per_ms);
-    tokens_per_ms >= MIN_COPY_TOKENS_PER_MS
-}
-
 impl<D: EdgeDialect> TrafficState<D> {
     /// Creates a state without statistics of any upstream.
     pub fn new(
@@ -325,7 +319,9 @@
         let index = choose_upstream(&candidates, shared_part, bound, self.draw())?;
         let key = candidates[index].key;
         let copy_source = prompt
-            .filter(|prefix| prefix.tokens >= MIN_COPY_TOKENS && copy_is_faster(table, service))
+            .filter(|prefix| {
+                prefix.tokens >= MIN_COPY_TOKENS && self.copy_is_faster(table, service)
+            })
             .and_then(|prefix| next_preferred(&candidates, prefix.hash, index));
         self.with_rate_limits(|limits, place| limits.count(key.into(), place, now));
         let mut upstream_stats = self.upstream_stats.borrow_mut();
@@ -349,6 +345,20 @@
         prompt_load.open_calls(prompt, router_count, self.now())
     }
 
+    /// Returns whether the upstreams of a service copy cached prompt parts from each other faster than
+    /// they compute them.
+    fn copy_is_faster(&self, table: &RouteTable, service: &ServiceId) -> bool {
+        let tokens_per_ms = table
+            .service(service)
+            .map_or(0.0, |rule| rule.copied_tokens_per_ms);
+        let needed = if self.shares_hosts(service) {
+            MIN_SHARED_HOST_COPY_TOKENS_PER_MS
+        } else {
+            MIN_COPY_TOKENS_PER_MS
+        };
+        tokens_per_ms >= needed
+    }
+
     /// Calls `work` with the rate limits and this router's place in the fleet.
     fn with_rate_limits<T, F>(&self, work: F) -> T
     where
