Take evacuations from an outdated source in order

A peer of an older build passes removals of evacuation keys on, but not that a key was set again, and a page of a read that began early could list a key that this router only knew to be gone. Removals from peers are now left to merge_peer_evacuations, and the check for outdated listings covers the store as well. tests/evacuations: both new tests failed before, all 14 pass now.

--- a/src/fleet/evacuation_table.rs
+++ b/src/fleet/evacuation_table.rs
@@ -183,11 +183,13 @@
         self.ignored.remove(key);
     }
 
-    /// Whether a peer lists a key that had been removed by the state up to which all changes are known.
+    /// Whether a key is listed that had been removed by the state up to which all changes are known. A
+    /// key that was ignored for lack of room may still be set.
     pub fn is_outdated(&self, item: &StoreItem) -> bool {
         item.stamp.era == self.stamp.era
             && item.stamp <= self.stamp
             && !self.records.contains_key(&item.key)
+            && !self.ignored.contains(&item.key)
     }
 
     /// Merges a written key. `predates_era` is whether it may have been written before the store was
--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -315,11 +315,6 @@
                 StoreChange::Removed { key, stamp, .. } => {
                     self.withdraw_evacuation(key, *stamp, now)
                 }
-                StoreChange::Written(item) | StoreChange::Withheld { item, .. }
-                    if self.evacuations.is_outdated(item) =>
-                {
-                    None
-                }
                 StoreChange::Written(item) | StoreChange::Withheld { item, .. } => {
                     self.write_evacuation(item)
                 }
@@ -335,9 +330,11 @@
         effect
     }
 
-    /// Merges a written document if it evacuates a data centre; `None` if it is another one.
+    /// Merges a written document if it evacuates a data centre; `None` if it is another one. A page of
+    /// the store may be as outdated as a peer: its read may have begun before the key was removed.
     fn write_evacuation(&mut self, item: &StoreItem) -> Option<MergeEffect> {
         let changed = match self.codec.decode_evacuation(&item.key)? {
+            Ok(_) if self.evacuations.is_outdated(item) => false,
             Ok(data_center) => {
                 let predates_era = self.may_predate_era(item.stamp);
                 let (key, stamp) = (item.key.as_str(), item.stamp);
@@ -555,15 +552,14 @@
         let mut effect = MergeEffect::default();
         for change in changes {
             effect.join(match change {
+                // Merged by `merge_peer_evacuations`, where the peer knows them. A peer of an older
+                // build passes removals on, but not that the key was set again later.
+                change if self.codec.decode_evacuation(change.key()).is_some() => {
+                    MergeEffect::default()
+                }
                 StoreChange::Removed { key, stamp, grace } => {
                     self.remove(&key, stamp, grace.min(EXPIRY_GRACE), now)
                 }
-                // Merged by `merge_peer_evacuations`, where the peer knows them.
-                StoreChange::Written(item) | StoreChange::Withheld { item, .. }
-                    if self.codec.decode_evacuation(&item.key).is_some() =>
-                {
-                    MergeEffect::default()
-                }
                 StoreChange::Written(item) | StoreChange::Withheld { item, .. }
                     if self.is_removed(&item) =>
                 {
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -207,6 +207,29 @@
     assert_eq!(view.covered_stamp(), at(8));
 }
 
+/// A removal that a peer of an older build passes on must not end an evacuation that was set again.
+#[test]
+fn older_removal_ends_nothing() {
+    let mut view = read_view(at(92), &[("out/a", 90)]);
+    let changes = vec![unset("out/a", at(95)), set("up/x", at(101))];
+    view.merge_peer(changes.clone(), at(101), NOW);
+    assert_eq!(evacuated(&view), ["a"]);
+    view.merge_peer_snapshot(changes, at(102), at(102), NOW);
+    assert_eq!(evacuated(&view), ["a"]);
+}
+
+/// A page of a read that began before the key was removed must not bring the evacuation back, if the
+/// router only knows that the key is gone.
+#[test]
+fn late_page_brings_nothing_back() {
+    let mut view = StoreView::new(TextCodec);
+    relay(&read_view(at(9), &[("up/x", 3)]), &mut view);
+    view.merge_page(vec![item("out/a", at(2))], at(4), NOW);
+    assert!(evacuated(&view).is_empty());
+    view.merge_page(vec![item("out/a", at(10))], at(10), NOW);
+    assert_eq!(evacuated(&view), ["a"]);
+}
+
 /// A store that was restored from a copy without the evacuation doesn't end it.
 #[test]
 fn restored_store_ends_nothing() {
