Ask for evacuations sooner, after a restore and before serving

Three faults, with the decisions in src/fleet/evacuation_plan.rs, which is pure: - Beside older builds a router that is cut off from the store asked for all evacuations every 10 s, longer than the 5 s in which one must apply; now every 3 s. - After a restore of the store, a router that had read it after an evacuation ended could hold that evacuation for good. Withdrawals are now part of each response once the era is above 0, and a router with unlisted evacuations asks a random peer every 10 s, also if it reads the store. - A booting router served before it knew the evacuations.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -3,6 +3,7 @@
 
 mod cached_entry;
 pub mod config_state;
+pub mod evacuation_plan;
 pub mod evacuation_table;
 pub mod fetch_plan;
 pub mod member_facts;
--- a/src/fleet/evacuation_table.rs
+++ b/src/fleet/evacuation_table.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 
-use crate::fleet::store_stamp::{StoreRevision, StoreStamp};
+use crate::fleet::store_stamp::{StoreEra, StoreRevision, StoreStamp};
 use crate::fleet::store_view::{StoreChange, StoreItem};
 use crate::ids::DataCenterId;
 use crate::mono::MonoTime;
@@ -24,7 +24,7 @@
 /// Maximum number of lines logged for one merge.
 const MAX_LINES: usize = 20;
 
-/// How long a withdrawal is part of a full response to a peer. Without it, the peer knows just as well
+/// How long a withdrawal is part of a full response to a peer, if the store was never restored. Without it, the peer knows just as well
 /// that the key is gone, but not that it ended lately.
 const WITHDRAWAL_SPAN: Duration = Duration::from_mins(1);
 
@@ -338,15 +338,19 @@
 
     /// The changes after `since`, for a peer that knows all up to it. Those of earlier eras are always
     /// among them: a restored store may have lost them, and a peer that started later can't know them.
+    /// So are all withdrawals once the store was restored: a peer that has read the store since then may
+    /// hold an evacuation of an earlier era, of which that the store lacks it says nothing.
     pub fn changes_since(&self, since: StoreStamp, now: MonoTime) -> Vec<StoreChange> {
         let is_full = since == StoreStamp::default();
+        let is_restored = self.stamp.era > StoreEra::default();
         let is_recent = |record: &EvacuationRecord| match record.state {
             EvacuationState::Withdrawn { at, .. } if is_full => now.since(at) <= WITHDRAWAL_SPAN,
             _ => true,
         };
         let records = self.records.iter().filter(|(_, record)| {
             let is_newer = is_full || record.stamp > since;
-            self.is_unlisted(record) || (is_newer && is_recent(record))
+            let is_lasting = self.is_unlisted(record) || (is_restored && !record.is_set());
+            is_lasting || (is_newer && is_recent(record))
         });
         records
             .map(|(key, record)| match record.state {
--- a/src/fleet/fetch_plan.rs
+++ b/src/fleet/fetch_plan.rs
@@ -126,15 +126,25 @@
         } else {
             newest.is_local || waited(self.behind_since) >= REMOTE_WAIT
         };
-        let blocked = self.blocked_until.is_some_and(|until| context.now < until);
-        if self.fetching || blocked || !due {
+        if !due || !self.begin_fetch(context.now) {
             return None;
         }
-        self.fetching = true;
         self.newest = None;
         Some(newest.address)
     }
 
+    /// Whether no request is in progress and the wait after the last one has ended.
+    pub fn is_free(&self, now: MonoTime) -> bool {
+        !self.fetching && self.blocked_until.is_none_or(|until| now >= until)
+    }
+
+    /// Begins a request if [`FetchPlan::is_free`].
+    pub fn begin_fetch(&mut self, now: MonoTime) -> bool {
+        let is_free = self.is_free(now);
+        self.fetching |= is_free;
+        is_free
+    }
+
     /// Records the end of a request; `advanced` is whether it brought newer documents.
     pub fn end_fetch(&mut self, advanced: bool, now: MonoTime) {
         self.fetching = false;
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -418,6 +418,7 @@
             }
             StoreEvent::Page(page) => {
                 self.store_active = now;
+                self.record_page();
                 self.store_view.merge_page(page.items, page.stamp, now)
             }
             StoreEvent::Snapshot(snapshot) => {
@@ -426,6 +427,7 @@
                     revision: = snapshot.stamp.revision, era: = snapshot.stamp.era,
                     documents: = snapshot.items.len()
                 });
+                self.record_page();
                 self.store_view.merge_snapshot(snapshot, now)
             }
             StoreEvent::Changes(update) => {
@@ -547,7 +549,7 @@
 
     fn update_stage(&mut self) {
         let ready = self.store_view.config().is_some() && !self.board.upstreams.load().is_empty();
-        if ready && self.board.stage() == ForwardStage::Booting {
+        if ready && self.board.stage() == ForwardStage::Booting && self.may_serve() {
             self.enter_stage(ForwardStage::Serving);
         }
     }
--- a/src/forward_control/control_state/evacuations.rs
+++ b/src/forward_control/control_state/evacuations.rs
@@ -2,9 +2,13 @@
 //! of other changes from a router of an older build, which passes no evacuations on.
 
 use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
+
 use super::ControlState;
+use crate::fleet::evacuation_plan::EvacuationPlan;
 use crate::fleet::store_stamp::StoreStamp;
 use crate::fleet::store_view::{DocumentCodec, MergeEffect, StoreChange};
 use crate::forward_board::ForwardStage;
@@ -22,10 +26,6 @@
 /// link takes about as long.
 const CATCH_UP_LIMIT: Duration = Duration::from_secs(5);
 
-/// Time between two requests for all changes since the last known evacuations, if the router that
-/// answered last was of an older build. All documents of a large fleet are about a megabyte.
-const FULL_REQUEST_PERIOD: Duration = Duration::from_secs(10);
-
 /// How this router keeps up with evacuations.
 #[derive(Debug, Default)]
 pub(super) struct EvacuationWatch {
@@ -34,11 +34,9 @@
     /// Since when a read of the store for the evacuations is in progress.
     catching_up_since: Option<MonoTime>,
     next_catch_up: MonoTime,
-    next_full_request: MonoTime,
-    /// Whether the router that answered last passed no evacuations on.
-    has_older_peer: bool,
-    /// State after which documents were last requested.
-    asked_since: StoreStamp,
+    plan: EvacuationPlan,
+    /// Whether a page of the store was merged. Pages list evacuations before upstreams.
+    has_page: bool,
 }
 
 impl<C: DocumentCodec> ControlState<C> {
@@ -103,19 +101,41 @@
 
     /// State after which a peer is to return all changes.
     pub(super) fn request_stamp(&mut self, now: MonoTime) -> StoreStamp {
-        let watch = &mut self.evacuation_watch;
-        let mut since = self.store_view.covered_stamp();
-        if watch.has_older_peer && now < watch.next_full_request {
-            since = self.store_view.stamp();
-        } else {
-            watch.next_full_request = now + FULL_REQUEST_PERIOD;
+        let (stamp, covered) = (self.store_view.stamp(), self.store_view.covered_stamp());
+        self.evacuation_watch
+            .plan
+            .request_stamp(stamp, covered, now)
+    }
+
+    /// The peer to ask about evacuations that a restored store doesn't list, if it is time to.
+    pub(super) fn unlisted_peer(&mut self, now: MonoTime) -> Option<Ipv4Addr> {
+        let unlisted = self.store_view.evacuation_table().unlisted_count();
+        if unlisted == 0 || !self.fetch_plan.is_free(now) {
+            return None;
         }
-        watch.asked_since = since;
-        since
+        let own = self.members.own().address;
+        let live = self.members.live(now);
+        let others = live.iter().filter(|record| record.address != own);
+        let peer = others.choose(&mut rand::rng())?.address;
+        let plan = &mut self.evacuation_watch.plan;
+        (plan.asks_for_unlisted(unlisted, now) && self.fetch_plan.begin_fetch(now)).then_some(peer)
+    }
+
+    /// Records that documents of the store were merged.
+    pub(super) fn record_page(&mut self) {
+        self.evacuation_watch.has_page = true;
+    }
+
+    /// Whether a router with a configuration and upstreams may serve, or waits for the evacuations.
+    pub(super) fn may_serve(&mut self) -> bool {
+        let now = self.now();
+        let is_told = self.store_view.evacuation_table().stamp() > StoreStamp::default();
+        let watch = &mut self.evacuation_watch;
+        watch.plan.may_serve(watch.has_page || is_told, now)
     }
 
     /// Merges the evacuations among the changes of a peer, which knows them up to `known`; `None` if it
-    /// is of a build that passes none on.
+    /// is of a build that passes none on. A default state says nothing either.
     pub(super) fn merge_evacuations(
         &mut self,
         changes: &[StoreChange],
@@ -123,13 +143,12 @@
         known: Option<StoreStamp>,
         now: MonoTime,
     ) -> MergeEffect {
-        self.evacuation_watch.has_older_peer = known.is_none();
-        let Some(known) = known else {
+        let Some(known) = self.evacuation_watch.plan.record_answer(known) else {
             return MergeEffect::default();
         };
         let own = self.store_view.evacuation_table().stamp();
         // The changes between both states are not in the response.
-        let has_gap = !full && self.evacuation_watch.asked_since > own;
+        let has_gap = !full && self.evacuation_watch.plan.asked_since() > own;
         let known = if has_gap { own } else { known };
         self.store_view
             .merge_peer_evacuations(changes, full, known, now)
--- a/src/forward_control/control_state/peer_documents.rs
+++ b/src/forward_control/control_state/peer_documents.rs
@@ -48,7 +48,8 @@
     /// Returns the peer to request documents from, and the request, if one is due.
     pub fn next_fetch(&mut self) -> Option<(SocketAddrV4, DocumentRequest)> {
         let context = self.fetch_context();
-        let peer = self.fetch_plan.next_fetch(context)?;
+        let newer = self.fetch_plan.next_fetch(context);
+        let peer = newer.or_else(|| self.unlisted_peer(context.now))?;
         let port = self.board.settings.load().control.port();
         let since = self.request_stamp(context.now);
         let request = DocumentRequest {
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthornrouter::fleet::evacuation_plan::EvacuationPlan;
 use hawthornrouter::fleet::evacuation_table::MAX_EVACUATIONS;
 use hawthornrouter::fleet::store_stamp::StoreStamp;
 use hawthornrouter::fleet::store_view::{StoreChange, StoreItem, StoreSnapshot, StoreView};
@@ -66,12 +67,16 @@
 
 /// Sends what `view` knows to `peer`, which asks for what it lacks.
 fn relay(view: &View, peer: &mut View) {
+    relay_at(view, peer, NOW);
+}
+
+fn relay_at(view: &View, peer: &mut View, now: MonoTime) {
     let since = peer.covered_stamp();
     let full = !view.has_changes_since(since);
     let since = if full { StoreStamp::default() } else { since };
-    let changes = view.changes_since(since, NOW);
+    let changes = view.changes_since(since, now);
     let known = view.evacuation_table().stamp();
-    peer.merge_peer_evacuations(&changes, full, known, NOW);
+    peer.merge_peer_evacuations(&changes, full, known, now);
     relay_entries(view, peer, changes, full);
 }
 
@@ -252,6 +257,81 @@
     }
 }
 
+/// A router that read a restored store after the evacuation had ended must hear of that from a peer,
+/// however long ago it was, and so must one that heard of the evacuation from it.
+#[test]
+fn restored_store_keeps_end() {
+    let read = || read_view(StoreStamp::new(1, 10), &[("out/a", 9)]);
+    let (mut view, mut late) = (read(), read());
+    view.merge_snapshot(snapshot(StoreStamp::new(2, 5), &[]), NOW);
+    let ended = vec![
+        set("out/a", StoreStamp::new(2, 21)),
+        unset("out/a", StoreStamp::new(2, 22)),
+    ];
+    view.merge_changes(ended, StoreStamp::new(2, 22), NOW);
+    late.merge_snapshot(snapshot(StoreStamp::new(2, 30), &[]), NOW);
+    let mut started = read_view(StoreStamp::new(2, 30), &[]);
+    relay(&late, &mut started);
+    let later = NOW + Duration::from_mins(10);
+    for peer in [&mut late, &mut started] {
+        assert_eq!(evacuated(peer), ["a"]);
+        relay_at(&view, peer, later);
+        assert!(evacuated(peer).is_empty());
+    }
+    let mut started = StoreView::new(TextCodec);
+    relay_at(&late, &mut started, later);
+    relay(&view, &mut started);
+    assert!(evacuated(&started).is_empty());
+}
+
+/// Such a router must ask a peer, also if it reads the store, and not with every tick.
+#[test]
+fn unlisted_is_asked_for() {
+    let mut plan = EvacuationPlan::default();
+    assert!(!plan.asks_for_unlisted(0, NOW));
+    assert!(plan.asks_for_unlisted(1, NOW));
+    assert!(!plan.asks_for_unlisted(1, NOW + Duration::from_secs(1)));
+    assert!(plan.asks_for_unlisted(1, NOW + Duration::from_secs(10)));
+}
+
+/// A router that is cut off from the store must ask for all evacuations often enough to apply one in
+/// 5 s, though older builds answer most of its requests.
+#[test]
+fn older_answers_delay_little() {
+    let mut plan = EvacuationPlan::default();
+    let (stamp, covered) = (at(50), at(5));
+    let mut asked = Vec::new();
+    for second in 0..20 {
+        let now = NOW + Duration::from_secs(second);
+        if plan.request_stamp(stamp, covered, now) == covered {
+            asked.push(second);
+        }
+        plan.record_answer(None);
+    }
+    assert!(
+        asked.windows(2).all(|pair| pair[1] - pair[0] <= 4),
+        "{asked:?}"
+    );
+    assert!(asked.len() <= 10, "{asked:?}");
+    // A newer one answers: the next request is for all that is missing.
+    plan.record_answer(Some(at(60)));
+    let now = NOW + Duration::from_secs(20);
+    assert_eq!(plan.request_stamp(stamp, covered, now), covered);
+}
+
+/// A booting router must not serve before it knows the evacuations, nor wait for ever; a peer that has
+/// heard from older builds only knows none.
+#[test]
+fn boot_waits_for_evacuations() {
+    let mut plan = EvacuationPlan::default();
+    assert_eq!(plan.record_answer(Some(StoreStamp::default())), None);
+    assert_eq!(plan.record_answer(Some(at(3))), Some(at(3)));
+    assert!(!plan.may_serve(false, NOW));
+    assert!(!plan.may_serve(false, NOW + Duration::from_millis(3_900)));
+    assert!(plan.may_serve(true, NOW + Duration::from_millis(3_900)));
+    assert!(plan.may_serve(false, NOW + Duration::from_secs(4)));
+}
+
 /// A copy that lists a withdrawn evacuation doesn't bring it back; a new one counts.
 #[test]
 fn restored_store_brings_nothing_back() {
