Drop a cache source that was evacuated after the choice

A call could be written with the address of an evacuated upstream to read cached prompts from, if the evacuation came while its connection opened. build_request now asks the published set. tests/evacuations: evacuated_source_is_dropped fails without the check; 19 of 19 pass.

--- a/src/fleet/evacuation_table.rs
+++ b/src/fleet/evacuation_table.rs
@@ -5,12 +5,15 @@
 //! may have lost the key.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 
 use crate::fleet::store_stamp::{StoreEra, StoreRevision, StoreStamp};
 use crate::fleet::store_view::{StoreChange, StoreItem};
+use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::ids::DataCenterId;
 use crate::mono::MonoTime;
 
@@ -54,6 +57,19 @@
         &self.evacuated
     }
 
+    /// The address of a cache source, unless the upstream there was evacuated since it was chosen.
+    pub fn open_source(
+        &self,
+        source: SocketAddr,
+        upstreams: &[Arc<UpstreamEntry>],
+    ) -> Option<SocketAddr> {
+        let is_closed = |entry: &Arc<UpstreamEntry>| {
+            entry.address == source && self.contains(&entry.data_center)
+        };
+        let is_open = self.is_empty() || !upstreams.iter().any(is_closed);
+        is_open.then_some(source)
+    }
+
     /// When this router heard that the last evacuation of the data centre was withdrawn, by its own
     /// clock. `None` if the data centre is evacuated or was never known to be.
     pub fn withdrawn_at(&self, data_center: &DataCenterId) -> Option<MonoTime> {
--- a/src/forward/front_call/upstream_attempt.rs
+++ b/src/forward/front_call/upstream_attempt.rs
@@ -275,13 +275,19 @@
 
     fn build_request(&self) -> Result<Request<Full<Bytes>>, AttemptFault> {
         let head = &self.plan.head;
+        let board = &self.state.board;
+        // The connection may have taken long to open.
+        let cache_source = self.guard.cache_source.and_then(|source| {
+            let evacuations = board.evacuations.load();
+            evacuations.open_source(source, &board.upstreams.load())
+        });
         let upstream_head = UpstreamCallHead {
             upstream: &self.guard.entry.id,
             account: self.plan.grant.as_ref().map(|grant| &grant.account),
             time_left: self.plan.deadline.since(self.state.now()),
             rank: self.plan.rank(),
             resume_after: self.progress.last_id(),
-            cache_source: self.guard.cache_source,
+            cache_source,
         };
         let dialect = &self.state.dialect;
         let headers = dialect.upstream_call_headers(head, &upstream_head);
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -129,6 +129,23 @@
     assert_eq!(view.evacuations().withdrawn_at(&names[0]), None);
 }
 
+/// A call must not read cached prompts from an upstream that was evacuated after the choice.
+#[test]
+fn evacuated_source_is_dropped() {
+    let mut view = read_view(at(1), &[]);
+    let mut upstream = item("up/x", at(2));
+    upstream.value = Bytes::from_static(b"ready");
+    view.merge_page(vec![upstream], at(2), NOW);
+    let upstreams = view.upstreams();
+    let source = upstreams[0].address;
+    let open = |view: &View| view.evacuations().open_source(source, &upstreams);
+    assert_eq!(open(&view), Some(source));
+    view.merge_changes(vec![set("out/b", at(3))], at(3), NOW);
+    assert_eq!(open(&view), Some(source));
+    view.merge_changes(vec![set("out/a", at(4))], at(4), NOW);
+    assert_eq!(open(&view), None);
+}
+
 /// A value is never read, so that one that is cut or too large evacuates as well.
 #[test]
 fn value_says_nothing() {
