--- a/src/fleet/evacuation_table.rs
+++ b/src/fleet/evacuation_table.rs
@@ -5,12 +5,15 @@
 //! may have lost the key.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 
-use crate::fleet::store_stamp::{StoreRevision, StoreStamp};
+use crate::fleet::store_stamp::{StoreEra, StoreRevision, StoreStamp};
 use crate::fleet::store_view::{StoreChange, StoreItem};
+use crate::fleet::upstream_entry::UpstreamEntry;
 use crate::ids::DataCenterId;
 use crate::mono::MonoTime;
 
@@ -24,7 +27,7 @@
 /// Maximum number of lines logged for one merge.
 const MAX_LINES: usize = 20;
 
-/// How long a withdrawal is part of a full response to a peer. Without it, the peer knows just as well
+/// How long a withdrawal is part of a full response to a peer, if the store was never restored. Without it, the peer knows just as well
 /// that the key is gone, but not that it ended lately.
 const WITHDRAWAL_SPAN: Duration = Duration::from_mins(1);
 
@@ -54,6 +57,19 @@
         &self.evacuated
     }
 
+    /// The address of a cache source, unless the upstream there was evacuated since it was chosen.
+    pub fn open_source(
+        &self,
+        source: SocketAddr,
+        upstreams: &[Arc<UpstreamEntry>],
+    ) -> Option<SocketAddr> {
+        let is_closed = |entry: &Arc<UpstreamEntry>| {
+            entry.address == source && self.contains(&entry.data_center)
+        };
+        let is_open = self.is_empty() || !upstreams.iter().any(is_closed);
+        is_open.then_some(source)
+    }
+
     /// When this router heard that the last evacuation of the data centre was withdrawn, by its own
     /// clock. `None` if the data centre is evacuated or was never known to be.
     pub fn withdrawn_at(&self, data_center: &DataCenterId) -> Option<MonoTime> {
@@ -183,11 +199,13 @@
         self.ignored.remove(key);
     }
 
-    /// Whether a peer lists a key that had been removed by the state up to which all changes are known.
+    /// Whether a key is listed that had been removed by the state up to which all changes are known. A
+    /// key that was ignored for lack of room may still be set.
     pub fn is_outdated(&self, item: &StoreItem) -> bool {
         item.stamp.era == self.stamp.era
             && item.stamp <= self.stamp
             && !self.records.contains_key(&item.key)
+            && !self.ignored.contains(&item.key)
     }
 
     /// Merges a written key. `predates_era` is whether it may have been written before the store was
@@ -336,15 +354,19 @@
 
     /// The changes after `since`, for a peer that knows all up to it. Those of earlier eras are always
     /// among them: a restored store may have lost them, and a peer that started later can't know them.
+    /// So are all withdrawals once the store was restored: a peer that has read the store since then may
+    /// hold an evacuation of an earlier era, of which that the store lacks it says nothing.
     pub fn changes_since(&self, since: StoreStamp, now: MonoTime) -> Vec<StoreChange> {
         let is_full = since == StoreStamp::default();
+        let is_restored = self.stamp.era > StoreEra::default();
         let is_recent = |record: &EvacuationRecord| match record.state {
             EvacuationState::Withdrawn { at, .. } if is_full => now.since(at) <= WITHDRAWAL_SPAN,
             _ => true,
         };
         let records = self.records.iter().filter(|(_, record)| {
             let is_newer = is_full || record.stamp > since;
-            self.is_unlisted(record) || (is_newer && is_recent(record))
+            let is_lasting = self.is_unlisted(record) || (is_restored && !record.is_set());
+            is_lasting || (is_newer && is_recent(record))
         });
         records
             .map(|(key, record)| match record.state {
