Bound the time between calls to a cold upstream, and drop a debug method

Cause: a configured rate close to 0 gave a time that Duration can't hold, and an isolated router would have panicked; found on reading the merged part. Change: the time is at most an hour.

--- a/src/policy/cold_upstreams.rs
+++ b/src/policy/cold_upstreams.rs
@@ -23,6 +23,9 @@
 use crate::policy::rate_limits::{FleetPlace, share_rank};
 use crate::route::ColdTerms;
 
+/// Longest time between two calls of a router, for rates that are configured close to 0.
+const MAX_SPACING: Duration = Duration::from_hours(1);
+
 /// Time over which the rate rises after the cold time, before it is no longer limited.
 const RAMP_TIME: Duration = Duration::from_secs(3);
 
@@ -174,6 +177,12 @@
     }
 }
 
+/// Returns the time between two calls at a rate per second.
+fn spacing_of(rate: f64) -> Duration {
+    let spacing = Duration::try_from_secs_f64(1.0 / rate);
+    spacing.unwrap_or(MAX_SPACING).min(MAX_SPACING)
+}
+
 /// A statement about a cold upstream that routers pass on to each other.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ColdReport {
@@ -637,8 +646,7 @@
         let woke_lately = |at| now.since(at) < state.terms.start();
         let is_quiet = is_silent || state.woke.is_some_and(woke_lately);
         if place.contact.is_isolated && is_quiet {
-            let spacing = Duration::from_secs_f64(1.0 / (rate * MIN_SHARE_PART));
-            return CallPace::Every(spacing, state.next_call);
+            return CallPace::Every(spacing_of(rate * MIN_SHARE_PART), state.next_call);
         }
         CallPace::Open
     }
@@ -666,9 +674,8 @@
             sharing -= 1.0;
         }
         let own_rate = (whole / sharing).floor().min(rate);
-        let spacing = Duration::try_from_secs_f64(SPACING_FACTOR / own_rate).ok()?;
         let rank = self.rank(upstream, state);
-        ((rank as f64) < sharing).then_some(spacing)
+        ((rank as f64) < sharing).then(|| spacing_of(own_rate / SPACING_FACTOR))
     }
 
     /// Returns the number of routers that come before this one in the order of shares.
@@ -740,9 +747,6 @@
         std::mem::take(&mut self.changes)
     }
 
-    pub fn debug(&self, tag: UpstreamTag) -> String {
-        format!("{:?}", self.states.get(&tag))
-    }
     /// Whether other routers should hear of something.
     pub fn has_news(&self) -> bool {
         !self.announcements.is_empty()
--- a/tests/cold_upstreams.rs
+++ b/tests/cold_upstreams.rs
@@ -542,10 +542,14 @@
 
 /// An upstream known before traffic, at a router that knows its place in a fleet of one.
 fn known_upstream() -> (ColdUpstreams, UpstreamTag, ColdPlace) {
+    upstream_with(terms())
+}
+
+fn upstream_with(terms: ColdTerms) -> (ColdUpstreams, UpstreamTag, ColdPlace) {
     let mut cold = ColdUpstreams::default();
     let entry = entry(0, wall(0) - 600_000, 0);
     let unix_now = Duration::from_millis(wall(0));
-    cold.observe([(&entry, terms())].into_iter(), true, at(0), unix_now);
+    cold.observe([(&entry, terms)].into_iter(), true, at(0), unix_now);
     let own = place(0);
     cold.set_routers(own.address, vec![own]);
     let place = ColdPlace {
@@ -618,3 +622,20 @@
     assert_eq!(ColdTerms::new(0.0, 9.3), Ok(None));
     assert_eq!(ColdBound::new(f64::NAN, -1.0), ColdBound::default());
 }
+
+/// Guards against a panic of an isolated router where the configured rate is close to 0.
+#[test]
+fn rate_close_to_zero() {
+    let terms = ColdTerms::new(3.0, 1e-300).unwrap().unwrap();
+    let (mut cold, tag, place) = upstream_with(terms);
+    let isolated = ColdPlace {
+        contact: FleetContact {
+            is_settled: true,
+            is_isolated: true,
+        },
+        bound: ColdBound::default(),
+        ..place
+    };
+    assert!(cold.take(tag, isolated, at(5000)));
+    assert_ne!(cold.wait(tag, isolated, at(5010)), Ok(Duration::ZERO));
+}
