Show that an early discard of the store's history joins streams of two versions

Cause: processes that start again prove that a version is the only one from the changes that the store still has, also where it has discarded later ones. docs/decisions/stream-versions.md names this as open; no test showed it.

Added: review/6, a script, and its part of the stand-ins. It is graver than the other cases, which move down by one.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,4 +7,4 @@
 ulimit -n 8192 2>/dev/null || ulimit -n "$(ulimit -Hn)"
 program=target/review-2/release/review-cases
 [ -x "$program" ] || exit 2
-exec "$program" unread-requests review/7
+exec "$program" tenant-name review/7
--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases, one file each.
 
+pub mod early_discard;
 pub mod identity_framing;
 pub mod limit_of_zero;
 pub mod stalled_bodies;
--- a/review/standin-2/src/cases/stalled_bodies.rs
+++ b/review/standin-2/src/cases/stalled_bodies.rs
@@ -1,5 +1,5 @@
-//! Clients that stop one byte short of the end of a small body and stay, more than a machine takes
-//! connections.
+//! Clients that send a body in small chunks, stop short of the last one and stay, more than a machine
+//! takes connections.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -10,7 +10,7 @@
 
 use super::{Clients, LOOKUP, PLAN_MS, plain_answer, short_stream};
 use crate::Verdict;
-use crate::client::{TryEnd, new_id, request};
+use crate::client::{TryEnd, new_id, request_head};
 use crate::fleet::Fleet;
 use crate::record::Record;
 
@@ -20,7 +20,11 @@
 /// Ordinary clients that try all the time; the rule asks for seven or more.
 const ORDINARY: usize = 8;
 
-const BODY_BYTES: usize = 1000;
+/// Chunks of a body before the last one, and their size.
+const CHUNKS: usize = 100;
+const CHUNK_BYTES: usize = 10;
+
+const LAST_CHUNK: &str = "0\r\n\r\n";
 
 /// `ContactMs` of the deployment.
 const CONTACT: Duration = Duration::from_secs(3);
@@ -54,14 +58,12 @@
 
 fn enter(front: SocketAddr, has_trouble: bool) -> Option<TcpStream> {
     let mut socket = TcpStream::connect_timeout(&front, Duration::from_secs(1)).ok()?;
-    let body = vec![b'b'; BODY_BYTES];
-    let bytes = request("POST", "/plan/1", &new_id(), PLAN_MS, &body);
-    let sent = if has_trouble {
-        &bytes[..bytes.len() - 1]
-    } else {
-        &bytes[..]
-    };
-    socket.write_all(sent).ok()?;
+    let head = request_head("POST", "/plan/1", &new_id(), PLAN_MS);
+    let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "b".repeat(CHUNK_BYTES));
+    let chunks = chunk.repeat(CHUNKS);
+    let last = if has_trouble { "" } else { LAST_CHUNK };
+    let text = format!("{head}Transfer-Encoding: chunked\r\n\r\n{chunks}{last}");
+    socket.write_all(text.as_bytes()).ok()?;
     socket.set_nonblocking(true).ok()?;
     Some(socket)
 }
@@ -90,13 +92,9 @@
         let (ends, front) = (Arc::clone(&crowd), router.front());
         thread::spawn(move || play_crowd(front, CROWD / 10, has_trouble, &ends));
     }
-    let part = if has_trouble {
-        BODY_BYTES - 1
-    } else {
-        BODY_BYTES
-    };
+    let last = if has_trouble { "without" } else { "with" };
     record.line(format!(
-        "{CROWD} clients connect, each sends a POST of {BODY_BYTES} bytes, {part} of them, and stays"
+        "{CROWD} clients connect, each sends a POST in {CHUNKS} chunks of {CHUNK_BYTES} bytes {last} the last one, and stays"
     ));
     let began = record.now();
     let mut unready = Vec::new();
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -160,8 +160,21 @@
 
     /// Writes the entry of a server, as the server itself does.
     pub fn register(&self, id: &str, service: &str, slots: u32, state: &str, server: &Server) {
+        self.register_version(id, service, slots, state, 1, server);
+    }
+
+    /// Writes the entry of a server of a software version.
+    pub fn register_version(
+        &self,
+        id: &str,
+        service: &str,
+        slots: u32,
+        state: &str,
+        version: u32,
+        server: &Server,
+    ) {
         let entry = format!(
-            r#"{{"Service":"{service}","Address":"{}","Zone":"fes-medina","Version":1,"Slots":{slots},"State":"{state}","ColdRemainingMs":0,"Sequence":1,"born":1700000000000}}"#,
+            r#"{{"Service":"{service}","Address":"{}","Zone":"fes-medina","Version":{version},"Slots":{slots},"State":"{state}","ColdRemainingMs":0,"Sequence":1,"born":1700000000000}}"#,
             server.address
         );
         self.store.put(&format!("servers/{id}"), &entry);
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -43,6 +43,7 @@
         "unread-requests" => cases::unread_requests::run(&mut record, has_trouble),
         "limit-of-zero" => cases::limit_of_zero::run(&mut record, has_trouble),
         "identity-framing" => cases::identity_framing::run(&mut record, has_trouble),
+        "early-discard" => cases::early_discard::run(&mut record, has_trouble),
         "tenant-name" => cases::tenant_name::run(&mut record, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -15,6 +15,8 @@
     items: BTreeMap<String, (String, u64)>,
     /// Revision, key and content of each change; `None` for a removal.
     history: Vec<(u64, String, Option<String>)>,
+    /// Changes up to this revision have been discarded.
+    discarded: u64,
 }
 
 /// A running store, whose threads run until the process exits.
@@ -57,6 +59,24 @@
         changed.notify_all();
     }
 
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let (state, changed) = &*self.state;
+        let mut state = lock(state);
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        state.history.push((revision, key.to_owned(), None));
+        changed.notify_all();
+    }
+
+    /// Discards the history.
+    pub fn discard(&self) {
+        let mut state = lock(&self.state.0);
+        state.discarded = state.revision;
+        state.history.clear();
+    }
+
     fn serve(&self, socket: TcpStream) {
         let Ok(writer) = socket.try_clone() else {
             return;
@@ -76,7 +96,7 @@
             let (path, query) = target.split_once('?').unwrap_or((target, ""));
             let (status, body) = match path {
                 "/kv-range" => (200, self.range(query)),
-                "/kv-watch" => (200, self.watch(query)),
+                "/kv-watch" => self.watch(query),
                 _ => (404, "{}".to_owned()),
             };
             let answer = format!(
@@ -107,12 +127,15 @@
     }
 
     /// The changes after a revision, as soon as there is one.
-    fn watch(&self, query: &str) -> String {
+    fn watch(&self, query: &str) -> (u16, String) {
         let after: u64 = field(query, "After").parse().unwrap_or(0);
         let wait: u64 = field(query, "WaitMs").parse().unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait);
         let (state, changed) = &*self.state;
         let mut state = lock(state);
+        if after < state.discarded {
+            return (410, "{}".to_owned());
+        }
         while state.revision <= after {
             let left = end.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -132,11 +155,12 @@
                 None => format!(r#"{{"Key":"{key}","Revision":{revision},"Tombstone":true}}"#),
             })
             .collect();
-        format!(
+        let body = format!(
             r#"{{"events":[{}],"StoreRevision":{}}}"#,
             events.join(","),
             state.revision
-        )
+        );
+        (200, body)
     }
 }
 
