Prove versions only from a whole history of the store

All routers had been killed just after the last upstream of a version left and the store discarded its history.

Cause: a router that starts took the changes that the store still has for all that happened in the last HistoryS less 5 s, unless an entry or a removal contradicted that. A discard that leaves neither behind was not seen. The store names no times, and revisions and `born` bound the time of a change from below only, so no check on a part of the changes can tell.

Change: the changes prove something only if they reach back to revision 0, in the first era, and account for each entry and each removal. Otherwise upstreams are asked for their cached prompts, as before beside two known versions; now also if the history can't be read, if no peer has run for as long as a stream lasts, and if a peer that has may have missed changes. The search for the oldest change is gone.

--- a/src/fleet/store_view.rs
+++ b/src/fleet/store_view.rs
@@ -15,8 +15,8 @@
 use crate::fleet::evacuation_table::{EvacuationSet, EvacuationTable};
 use crate::fleet::renewal_outage::{EXPIRY_GRACE, RenewalOutage, StoreFailure};
 use crate::fleet::store_stamp::{StoreRevision, StoreStamp};
-use crate::fleet::upstream_entry::{StartTime, UpstreamEntry};
-use crate::fleet::version_history::{HistoryReport, VersionHistory, history_time};
+use crate::fleet::upstream_entry::UpstreamEntry;
+use crate::fleet::version_history::{HISTORY_SPAN, HistoryReport, VersionHistory, history_time};
 use crate::ids::{DataCenterId, PartTag};
 use crate::mono::MonoTime;
 use crate::route::{ConfigVersion, RouteTable};
@@ -91,19 +91,6 @@
     pub items: Vec<StoreItem>,
 }
 
-/// The changes of the store before this router read it.
-#[derive(Clone, Debug)]
-pub struct StoreHistory {
-    /// All changes after `after`, in the order of their revisions.
-    pub changes: Vec<StoreChange>,
-    pub after: StoreStamp,
-    /// For how long before now `changes` are all that happened, unless the store has discarded some of
-    /// its history early.
-    pub span: Duration,
-    /// The time `span` ago by the clock of this VM.
-    pub oldest_start: StartTime,
-}
-
 /// Decodes documents of the store. The platform supplies the implementation.
 pub trait DocumentCodec {
     /// The key of the configuration.
@@ -391,34 +378,39 @@
         }
     }
 
-    /// Merges what the store says of the time before this router read it. Without a gap in that, this
-    /// router knows of all versions in use since its beginning.
-    pub fn merge_store_history(&mut self, past: &StoreHistory, now: MonoTime) -> bool {
-        let mut named = BTreeSet::new();
-        for change in &past.changes {
+    /// Merges all changes of the store from its beginning up to `until`. Returns whether they account for
+    /// each entry and each removal: then this router knows of all versions that were in use.
+    pub fn merge_whole_history(
+        &mut self,
+        changes: &[StoreChange],
+        until: StoreStamp,
+        now: MonoTime,
+    ) -> bool {
+        let mut written = BTreeSet::new();
+        for change in changes {
             let StoreChange::Written(item) = change else {
                 continue;
             };
+            written.insert(item.key.as_str());
             if let Some(Ok(entry)) = self.codec.decode_entry(&item.key, &item.value) {
                 self.history.record_entry(&entry, history_time(now));
-                named.insert(item.key.as_str());
             }
         }
-        let is_named = |change: &StoreChange| match change {
-            StoreChange::Removed { key, .. } => named.contains(key.as_str()),
-            StoreChange::Written(_) | StoreChange::Withheld { .. } => true,
-        };
-        // An entry that is younger than the history would be in it if none had been discarded early.
-        let was_discarded = self.entries.values().any(|cached| {
-            let started = cached.state.start();
-            cached.stamp <= past.after && started.is_some_and(|started| started > past.oldest_start)
-        });
-        let holds = past.changes.iter().all(is_named) && !was_discarded;
-        if holds {
+        let removed = changes
+            .iter()
+            .filter(|change| matches!(change, StoreChange::Removed { .. }))
+            .map(StoreChange::key);
+        let listed = self.entries.iter();
+        let listed = listed.filter(|(_, cached)| cached.stamp <= until && cached.state.is_listed());
+        let is_whole = listed
+            .map(|(key, _)| key.as_str())
+            .chain(removed)
+            .all(|key| written.contains(key));
+        if is_whole {
             self.history
-                .extend_coverage(history_time(now).saturating_sub(past.span));
+                .extend_coverage(history_time(now).saturating_sub(HISTORY_SPAN));
         }
-        holds
+        is_whole
     }
 
     /// Number of entries that are not used because they were removed before the store was restored.
--- a/src/forward_control/control_state/past_versions.rs
+++ b/src/forward_control/control_state/past_versions.rs
@@ -2,15 +2,15 @@
 //! of them began the streams that may be taken up.
 
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 
 use super::ControlState;
 use crate::fleet::store_stamp::StoreStamp;
-use crate::fleet::store_view::{DocumentCodec, StoreHistory};
-use crate::fleet::upstream_entry::{StartTime, UpstreamEntry};
-use crate::fleet::version_history::{HISTORY_SPAN, history_time};
+use crate::fleet::store_view::DocumentCodec;
+use crate::fleet::upstream_entry::UpstreamEntry;
+use crate::fleet::version_history::history_time;
 use crate::forward_board::ForwardStage;
 use crate::forward_control::store_task::{PastChanges, StoreCommand};
 use crate::ids::{ServiceKey, StreamTag};
@@ -26,9 +26,6 @@
 /// Number of attempts to read the store's history.
 const MAX_READS: u32 = 4;
 
-/// Largest difference between the clocks of two VMs that is allowed for.
-const CLOCK_TOLERANCE: Duration = Duration::from_secs(5);
-
 /// Number of routers that ask each upstream for its cached parts.
 const ASKING_ROUTERS: usize = 2;
 
@@ -79,7 +76,7 @@
         }
         let is_needed = !self.covers_streams(now) && self.past_search.reads < MAX_READS;
         if !is_needed || !self.store_role.is_reading() {
-            self.past_search.is_done = true;
+            self.end_past_search(now);
             return None;
         }
         self.past_search.reads += 1;
@@ -87,35 +84,34 @@
         Some(StoreCommand::ReadPast(self.store_view.stamp()))
     }
 
-    /// Merges the store's history. If it leaves several versions possible, upstreams are asked where
-    /// requests ran.
+    /// Ends the search in the store. What it did not find is asked of upstreams.
+    fn end_past_search(&mut self, now: MonoTime) {
+        self.past_search.is_done = true;
+        self.past_search.parts_due = Some(now + PEERS_TIME);
+    }
+
+    /// Merges the store's history.
     pub(super) fn merge_past(&mut self, past: Option<PastChanges>) {
         let now = self.now();
         let Some(past) = past else {
             spdlog::info!("store-past", kv: { read: = false });
             return;
         };
-        self.past_search.is_done = true;
-        let kept = self.board.settings.load().store_history;
-        let span = kept.saturating_sub(CLOCK_TOLERANCE);
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
-        let oldest = wall.unwrap_or_default().saturating_sub(span);
-        let count = past.changes.changes.len();
-        let history = StoreHistory {
-            changes: past.changes.changes,
-            after: past.after,
-            span: if past.is_whole { HISTORY_SPAN } else { span },
-            oldest_start: StartTime(oldest.as_millis() as u64),
+        let promised = self.board.settings.load().store_history;
+        let (is_whole, holds, count) = match past {
+            PastChanges::Whole(past) => {
+                let view = &mut self.store_view;
+                let holds = view.merge_whole_history(&past.changes, past.stamp, now);
+                (true, holds, past.changes.len())
+            }
+            PastChanges::Partial => (false, false, 0),
         };
-        // A restored store has lost changes.
-        let is_first_era = past.after.era.0 == 0;
-        let holds = is_first_era && self.store_view.merge_store_history(&history, now);
         spdlog::info!("store-past", kv: {
-            read: = true, after: = past.after.revision, changes: = count, whole: = past.is_whole,
-            holds: = holds
+            read: = true, whole: = is_whole, changes: = count, holds: = holds,
+            promised_ms: = promised.as_millis()
         });
         self.publish_versions(now);
-        self.past_search.parts_due = Some(now + PEERS_TIME);
+        self.end_past_search(now);
     }
 
     /// Records for how long a peer has held records.
@@ -126,15 +122,13 @@
     }
 
     /// Decides whether to ask upstreams for their cached parts, once peers could tell that they have
-    /// the records of streams.
+    /// the records of streams. Records of a peer are not enough while it may have missed changes.
     pub(super) fn search_parts(&mut self, now: MonoTime) {
-        if self
-            .past_search
-            .parts_due
-            .take_if(|due| *due <= now)
-            .is_some()
-            && !self.past_search.has_old_peer
-        {
+        let due = self.past_search.parts_due.take_if(|due| *due <= now);
+        if due.is_none() {
+            return;
+        }
+        if !self.past_search.has_old_peer || !self.covers_streams(now) {
             self.part_questions = self.ambiguous_upstreams(now);
         }
     }
--- a/src/forward_control/store_task.rs
+++ b/src/forward_control/store_task.rs
@@ -56,8 +56,8 @@
     Changes(StoreChanges),
     /// The store has discarded the requested changes; all documents are read again.
     HistoryLost,
-    /// The changes that the store still has of the time before its first read, after the state `after`;
-    /// `is_whole` if these are all changes ever. `None` if they could not be read.
+    /// The changes that the store still has of the time before its first read. `None` if they could not
+    /// be read.
     Past(Option<PastChanges>),
     /// A check has ended. If it is confirmed, all changes up to it were reported before.
     Checked {
@@ -68,14 +68,14 @@
     Failed(StoreFailure, anyhow::Error),
 }
 
-/// The oldest changes that the store still has, and all later ones.
+/// What the store still has of the changes before its first read. It does not tell when it discarded
+/// the others, so a part of them does not show since when it is complete.
 #[derive(Debug)]
-pub struct PastChanges {
-    pub changes: StoreChanges,
-    /// The state that the oldest change follows.
-    pub after: StoreStamp,
-    /// Whether no change was ever discarded.
-    pub is_whole: bool,
+pub enum PastChanges {
+    /// All changes ever.
+    Whole(StoreChanges),
+    /// The store has discarded some, by their age or early, or was restored from an older copy.
+    Partial,
 }
 
 /// Commands of the control thread to this task.
@@ -88,8 +88,8 @@
     /// without documents once a peer has delivered all of them up to this state, and to a router
     /// that begins to read the store.
     FollowFrom(StoreStamp),
-    /// Interrupts the pending request and reads all changes that the store still has from before this
-    /// state.
+    /// Interrupts the pending request and reads all changes up to this state, if the store has never
+    /// discarded any.
     ReadPast(StoreStamp),
     /// Interrupts the pending request and reads the newest state of the store. A router that sends no
     /// other requests has all changes up to `known`.
@@ -192,43 +192,28 @@
     }
 }
 
-/// Searches the oldest state after which the store still has all changes, and reads these. Returns
-/// `None` if a request fails.
+/// Reads all changes up to `known`. Returns `None` if a request fails.
 async fn read_past<S: StoreSource>(source: &mut S, known: StoreStamp) -> Option<PastChanges> {
-    let era = known.era.0;
-    let mut lost = None;
-    let mut after = known.revision.0;
-    let mut changes = StoreChanges {
-        stamp: known,
-        ..StoreChanges::default()
-    };
-    loop {
-        // The whole history first: it is not long if it can be read.
-        let next = match lost {
-            None => 0,
-            Some(lost) if after - lost <= 1 => break,
-            Some(lost) => lost + (after - lost) / 2,
-        };
-        let answer = source.watch(StoreStamp::new(era, next), PROBE_WAIT).await;
+    let mut past = StoreChanges::default();
+    if known.era != past.stamp.era {
+        return Some(PastChanges::Partial);
+    }
+    while past.stamp < known {
+        let answer = source.watch(past.stamp, PROBE_WAIT).await;
         if answer.era != known.era {
             return None;
         }
         match answer.result {
-            Ok(read) => {
-                (changes, after) = (read, next);
-                if next == 0 {
-                    break;
-                }
+            // A response may hold only the first changes.
+            Ok(next) if next.stamp > past.stamp => {
+                past.changes.extend(next.changes);
+                past.stamp = next.stamp;
             }
-            Err(StoreFault::HistoryLost) => lost = Some(next),
-            Err(StoreFault::WatchCut(_) | StoreFault::Failed(_)) => return None,
+            Err(StoreFault::HistoryLost) => return Some(PastChanges::Partial),
+            Ok(_) | Err(StoreFault::WatchCut(_) | StoreFault::Failed(_)) => return None,
         }
     }
-    Some(PastChanges {
-        changes,
-        after: StoreStamp::new(era, after),
-        is_whole: after == 0,
-    })
+    Some(PastChanges::Whole(past))
 }
 
 /// Reads the newest state of the store and the changes up to it after `known`, which fails if not all
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use version_fleet::{Trouble, TroublePlan, check, number};
+use version_fleet::{Rule, Trouble, TroublePlan, check, number, play};
 
 const TROUBLES: &[Trouble] = &[
     Trouble::Kill,
@@ -45,6 +45,47 @@
     check(77, 0..2, PLAN);
 }
 
+/// The store has discarded the changes that name a version which has left, when all routers start.
+const EARLY_DISCARDS: TroublePlan = TroublePlan {
+    troubles: &[
+        Trouble::KillAll,
+        Trouble::Kill,
+        Trouble::StoreDown,
+        Trouble::Discard,
+        Trouble::DiscardEarly,
+        Trouble::Rollout,
+        Trouble::Retire,
+    ],
+    keeps_history: true,
+    ..PLAN
+};
+
+/// Plays seeds whose stores discard their history early. Streams that are refused after a kill of all
+/// routers are no fault here: the upstreams of this fleet list no cached prompts.
+fn check_early_discards(size: usize, seeds: std::ops::Range<u64>) {
+    let total = play(size, seeds, Rule::FreshRead, EARLY_DISCARDS);
+    assert_eq!(total.joined, 0, "{:#?}", total.notes);
+    assert!(total.gone_on > 0);
+    assert_eq!(total.promised_kept, total.promised, "{:#?}", total.notes);
+}
+
+#[test]
+fn early_discards() {
+    check_early_discards(4, 0..8);
+    check_early_discards(27, 0..2);
+}
+
+/// `VERSIONS_FIRST` and `VERSIONS_COUNT` choose the seeds.
+#[test]
+#[ignore = "long; run by hand"]
+fn early_discards_by_hand() {
+    let first = number("VERSIONS_FIRST", 1000);
+    let seeds = first..first + number("VERSIONS_COUNT", 50);
+    for size in [4, 27, 77] {
+        check_early_discards(size, seeds.clone());
+    }
+}
+
 /// `VERSIONS_FIRST` and `VERSIONS_COUNT` choose the seeds.
 #[test]
 #[ignore = "long; run by hand"]
--- a/tests/version_fleet/control.rs
+++ b/tests/version_fleet/control.rs
@@ -6,9 +6,7 @@
 use hawthornrouter::fleet::member_table::{GOSSIP_PERIOD, MemberStage};
 use hawthornrouter::fleet::renewal_outage::StoreFailure;
 use hawthornrouter::fleet::store_stamp::StoreStamp;
-use hawthornrouter::fleet::store_view::StoreHistory;
-use hawthornrouter::fleet::upstream_entry::StartTime;
-use hawthornrouter::fleet::version_history::{HISTORY_SPAN, history_time};
+use hawthornrouter::fleet::version_history::history_time;
 use hawthornrouter::gossip::frames::{HeartbeatFrame, MemberColumns, StreamColumns};
 use hawthornrouter::ids::StreamTag;
 use hawthornrouter::mono::MonoTime;
@@ -18,7 +16,7 @@
 use rand::RngExt;
 
 use super::router::{CheckRead, Follow, LACK_SPAN, Router};
-use super::{APPLY_LIMIT, Fleet, Rule, STORE_HISTORY, Vm, index_of};
+use super::{APPLY_LIMIT, Fleet, Rule, Vm, index_of};
 use hawthornrouter::fleet::fetch_plan::DocumentState;
 use hawthornrouter::route::ConfigVersion;
 
@@ -34,7 +32,6 @@
 /// As in the search for versions of the past.
 const MAX_PAST_READS: u32 = 4;
 const PAST_RETRY_TIME: Duration = Duration::from_secs(1);
-const CLOCK_TOLERANCE: Duration = Duration::from_secs(5);
 
 impl Fleet {
     /// Runs a part of a turn on a router and its VM.
@@ -277,7 +274,7 @@
         }
     }
 
-    /// Reads the store's history after a start, as long as the store keeps it.
+    /// Reads the store's history after a start, if the store has never discarded any.
     fn read_past(&mut self, index: usize, router: &mut Router, time: MonoTime) {
         let is_needed = router.serves()
             && self.plan.keeps_history
@@ -290,19 +287,10 @@
         }
         router.reads_of_past += 1;
         router.next_past = time + PAST_RETRY_TIME;
-        let known = router.view.stamp().revision.0;
-        let after = self.store.discarded;
-        let changes = self.store.changes(after, known).unwrap_or_default();
-        let span = STORE_HISTORY.saturating_sub(CLOCK_TOLERANCE);
-        let wall = self.now.0.as_millis() as i64 + self.vms[index].wall_step_ms;
-        let oldest = wall - span.as_millis() as i64;
-        let history = StoreHistory {
-            changes,
-            after: StoreStamp::new(0, after),
-            span: if after == 0 { HISTORY_SPAN } else { span },
-            oldest_start: StartTime(oldest.max(0) as u64),
-        };
-        router.view.merge_store_history(&history, time);
+        let until = router.view.stamp();
+        if let Some(changes) = self.store.changes(0, until.revision.0) {
+            router.view.merge_whole_history(&changes, until, time);
+        }
         router.publish_versions(time);
     }
 
--- a/tests/version_fleet/troubles.rs
+++ b/tests/version_fleet/troubles.rs
@@ -47,6 +47,8 @@
     StoreDown,
     StoreSlow,
     Discard,
+    /// The store discards all changes, also if it keeps them for a time otherwise.
+    DiscardEarly,
     /// Upstreams of some version join.
     Release,
     /// Upstreams of some version join, and those of all others drain.
@@ -153,7 +155,9 @@
             Trouble::Discard if self.plan.keeps_history => {
                 self.store.discard(now.saturating_sub(STORE_HISTORY));
             }
-            Trouble::Discard => self.store.discarded = self.store.revision(),
+            Trouble::Discard | Trouble::DiscardEarly => {
+                self.store.discarded = self.store.revision();
+            }
             Trouble::Release => self.release(),
             Trouble::Rollout => {
                 self.release();
