Take any name that the store has accepted, and leave out single items

The version in the store had an account named "Lucky Dip Fes".

Cause: names were parsed by the rule for identifiers of the project's own register, and a document was taken as a whole or not at all. One name, one number written as 2.0 or one null refused all routes, services and keys; running routers kept the keys that the version takes away.

Each route, service and account is read for itself, and one that can't be read is left out, logged (config-item-unusable) and counted (config_items_unusable). Headers, API keys, queries and log lines carry names of other scripts.

--- a/src/config.rs
+++ b/src/config.rs
@@ -9,6 +9,7 @@
 
 use crate::bundle::ConfigBundle;
 use crate::error::{RouterError, RouterResult};
+use crate::ids::check_id;
 use crate::register::AssetRegister;
 use crate::rules::{RuleBook, WorkRank};
 use crate::settings::{LocatorSettings, RouterSettings};
@@ -83,6 +84,11 @@
     let checker = DocumentChecker { file, text };
     let data_centers =
         checker.require_unique("data_centers", register.data_centers.iter().map(|d| &d.id))?;
+    let named = register.data_centers.iter().map(|d| d.id.as_str());
+    let named = named.chain(register.vms.iter().map(|vm| vm.id.as_str()));
+    let named = named.chain(register.services.iter().map(|service| service.id.as_str()));
+    let named = named.chain(register.accounts.iter().map(|account| account.id.as_str()));
+    checker.require_plain("id", named)?;
     let models = checker.require_unique("models", register.models.iter().map(|m| &m.id))?;
     checker.require_unique("vms", register.vms.iter().map(|vm| &vm.id))?;
     checker.require_unique("engines", register.engines.iter().map(|e| &e.id))?;
@@ -213,6 +219,18 @@
         Ok(seen)
     }
 
+    /// Checks that each of `ids` has only the characters of an identifier.
+    fn require_plain<'a>(
+        &self,
+        field: &str,
+        ids: impl Iterator<Item = &'a str>,
+    ) -> RouterResult<()> {
+        for id in ids {
+            check_id(id).map_err(|error| self.fault(field, id, 1, &error.to_string()))?;
+        }
+        Ok(())
+    }
+
     /// Checks that `item`, to which `owner` refers, is in the register.
     fn require_known<T: Eq + Hash + ToString, O: ToString>(
         &self,
--- a/src/forward/choice_explanation.rs
+++ b/src/forward/choice_explanation.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use form_urlencoded::byte_serialize;
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::{EdgeDialect, PromptPrefix};
@@ -29,14 +30,12 @@
 }
 
 impl ChoiceQuestion {
-    /// Writes the question as path and query. Returns `None` if the prompt has characters that stand
-    /// for something else in a query.
+    /// Writes the question as path and query. Returns `None` if the prompt has characters that no list
+    /// of parts has.
     pub fn target(&self) -> Option<String> {
         let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b":,.-_".contains(&byte);
-        let target = format!(
-            "{CHOICE_PATH}?service={}&prompt={}",
-            self.service, self.prompt
-        );
+        let service: String = byte_serialize(self.service.as_str().as_bytes()).collect();
+        let target = format!("{CHOICE_PATH}?service={service}&prompt={}", self.prompt);
         let is_short = target.len() <= MAX_QUERY_BYTES;
         (is_short && self.prompt.bytes().all(is_plain)).then_some(target)
     }
@@ -47,13 +46,16 @@
             return None;
         }
         let field = |name: &str| {
-            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            let mut values = pairs.filter(|(key, _)| *key == name);
-            values.next().map(|(_, value)| value)
+            let mut pairs = form_urlencoded::parse(query.as_bytes());
+            pairs.find_map(|(key, value)| (key == name).then(|| value.into_owned()))
         };
+        let service = field("service")?;
+        if service.is_empty() || service.contains(char::is_control) {
+            return None;
+        }
         Some(Self {
-            service: field("service")?.parse().ok()?,
-            prompt: field("prompt").unwrap_or_default().to_owned(),
+            service: service.parse().ok()?,
+            prompt: field("prompt").unwrap_or_default(),
         })
     }
 }
--- a/src/forward/front_handler.rs
+++ b/src/forward/front_handler.rs
@@ -50,6 +50,10 @@
 /// upstreams of a version take about as long.
 const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Value of `retry-after` for calls of accounts whose names no header can carry, until another
+/// configuration renames them.
+const ACCOUNT_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Number of stream chunks that are buffered for a slow caller while there is memory, and one
 /// otherwise. A chunk has up to 64 KB, or one event, if the upstream sends faster than the caller reads.
 const MAX_BUFFERED_CHUNKS: usize = 4;
@@ -322,12 +326,18 @@
     if route.public || !table.needs_keys() {
         return Ok(None);
     }
-    head.key
+    let grant = head
+        .key
         .as_ref()
         .and_then(|key| table.grant(key))
-        .cloned()
-        .map(Some)
-        .ok_or(LocalResponse::new(StatusCode::UNAUTHORIZED, "unknown key"))
+        .ok_or(LocalResponse::new(StatusCode::UNAUTHORIZED, "unknown key"))?;
+    if !grant.account.is_header_text() {
+        return Err(LocalResponse {
+            retry_after: Some(ACCOUNT_RETRY_AFTER),
+            ..LocalResponse::not_run("upstreams can't be told the account's name")
+        });
+    }
+    Ok(Some(Arc::clone(grant)))
 }
 
 async fn read_body<D: EdgeDialect>(
--- a/src/forward_control/control_state.rs
+++ b/src/forward_control/control_state.rs
@@ -2,6 +2,7 @@
 //! membership table, and the stage that follows from them.
 
 mod cold_starts;
+mod config_items;
 mod evacuations;
 mod fresh_reads;
 mod past_versions;
@@ -497,6 +498,7 @@
             && let Some(config) = self.store_view.config()
         {
             self.report_cold_faults(&config.table);
+            self.report_unusable_items(&config.table);
             self.board.routes.store(Some(Arc::clone(&config.table)));
         }
         // Before the upstreams: no call may be sent to a new one that is evacuated.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,10 +1,12 @@
 //! Identifiers. An ID is text, for example a name in the register; a key is its 64-bit hash, which
-//! routing and scheduling use in place of the text.
+//! routing and scheduling use in place of the text. Names that come from other systems may be any text;
+//! the register allows plain ones only.
 
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
 
+use http::HeaderValue;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -14,7 +16,7 @@
 pub const MAX_ID_BYTES: usize = 64;
 
 macro_rules! named_id {
-    ($(#[$doc:meta])* $name:ident, $key:ident) => {
+    ($(#[$doc:meta])* $name:ident, $key:ident, $check:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Deserialize, Serialize)]
         #[serde(try_from = "String", into = "String")]
@@ -29,6 +31,11 @@
             pub fn key(&self) -> $key {
                 $key(xxh3_64(self.0.as_bytes()))
             }
+
+            /// Whether a header can carry this identifier unchanged.
+            pub fn is_header_text(&self) -> bool {
+                is_header_text(&self.0)
+            }
         }
 
         impl fmt::Display for $name {
@@ -41,7 +48,7 @@
             type Err = ValueError;
 
             fn from_str(text: &str) -> Result<Self, ValueError> {
-                check_id(text).map(|()| Self(Arc::from(text)))
+                $check(text).map(|()| Self(Arc::from(text)))
             }
         }
 
@@ -73,43 +80,43 @@
 
 named_id!(
     /// Identifies a VM, which runs a router and a locator.
-    VmId, VmKey
+    VmId, VmKey, any_text
 );
 named_id!(
     /// Identifies a data centre.
-    DataCenterId, DataCenterKey
+    DataCenterId, DataCenterKey, any_text
 );
 named_id!(
     /// Identifies a model engine.
-    EngineId, EngineKey
+    EngineId, EngineKey, check_id
 );
 named_id!(
     /// Identifies a service other than a model engine.
-    ServiceId, ServiceKey
+    ServiceId, ServiceKey, any_text
 );
 named_id!(
     /// Identifies a model that engines serve.
-    ModelId, ModelKey
+    ModelId, ModelKey, check_id
 );
 named_id!(
     /// Identifies a client account.
-    AccountId, AccountKey
+    AccountId, AccountKey, any_text
 );
 named_id!(
     /// Identifies a route of the configuration.
-    RouteId, RouteKey
+    RouteId, RouteKey, any_text
 );
 named_id!(
     /// Identifies one run of an upstream, which is an engine or a process of a service.
-    UpstreamId, UpstreamKey
+    UpstreamId, UpstreamKey, any_text
 );
 named_id!(
     /// Identifies a chat, whose requests are preferably routed to the same engine.
-    ChatId, ChatKey
+    ChatId, ChatKey, check_id
 );
 named_id!(
     /// Identifies a request of a caller. Engines send this identifier back with every event.
-    RequestId, RequestKey
+    RequestId, RequestKey, check_id
 );
 
 /// Identifies one start of an upstream: a hash of its identifier and of the time of the start.
@@ -165,7 +172,22 @@
     }
 }
 
-fn check_id(text: &str) -> Result<(), ValueError> {
+/// Names from documents of other systems may have any characters.
+#[expect(clippy::unnecessary_wraps, reason = "has the type of `check_id`")]
+fn any_text(_: &str) -> Result<(), ValueError> {
+    Ok(())
+}
+
+/// Whether a header can carry `text` unchanged: readers drop blanks at the ends of a value, and control
+/// characters end it or are refused.
+fn is_header_text(text: &str) -> bool {
+    let is_blank = |c| c == ' ' || c == '\t';
+    let has_blank_end = text.starts_with(is_blank) || text.ends_with(is_blank);
+    !has_blank_end && HeaderValue::from_bytes(text.as_bytes()).is_ok()
+}
+
+/// Validates an identifier in a document of this project, which has 1 to 64 plain characters.
+pub fn check_id(text: &str) -> Result<(), ValueError> {
     let is_allowed =
         |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b':');
     if text.is_empty() || text.len() > MAX_ID_BYTES || !text.bytes().all(is_allowed) {
--- a/src/log.rs
+++ b/src/log.rs
@@ -55,7 +55,8 @@
         let mut value_text = ValueText::default();
         write!(value_text, "{value}")?;
         let text = value_text.0;
-        if text.contains([' ', '"', '=', '\n']) {
+        let is_quoted = |c: char| c.is_whitespace() || c.is_control() || matches!(c, '"' | '=');
+        if text.contains(is_quoted) {
             write!(dest, " {}={text:?}", key.as_str())?;
         } else {
             write!(dest, " {}={text}", key.as_str())?;
--- a/src/prometheus_metrics.rs
+++ b/src/prometheus_metrics.rs
@@ -36,6 +36,8 @@
     pub lines_left_out: IntCounter,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Number of items of the configuration in force that are left out, by kind.
+    pub config_items_unusable: IntGaugeVec,
     /// Era of the store that is known to this router.
     pub store_era: IntGauge,
     /// Revision of the store up to which all changes are known to this router.
@@ -137,6 +139,7 @@
                 "Log lines dropped by the rate limits",
             )?,
             config_version: gauge("config_version", "Version of the configuration in force")?,
+            config_items_unusable: register_config_items(&registry)?,
             store_era: gauge(
                 "store_era",
                 "Number of times that the store was restored from an older copy",
@@ -237,6 +240,18 @@
     Ok(gauge)
 }
 
+fn register_config_items(registry: &Registry) -> Result<IntGaugeVec, prometheus::Error> {
+    let items = IntGaugeVec::new(
+        Opts::new(
+            "config_items_unusable",
+            "Items of the configuration in force that are left out",
+        ),
+        &["kind"],
+    )?;
+    registry.register(Box::new(items.clone()))?;
+    Ok(items)
+}
+
 /// Registers the counters of calls that take streams up, and of the reads of the store for them.
 fn register_take_ups(
     registry: &Registry,
--- a/src/route.rs
+++ b/src/route.rs
@@ -7,6 +7,7 @@
 mod route_rule;
 mod route_table;
 mod table_fault;
+mod unusable_item;
 
 pub use call_kind::CallKind;
 pub use cold_terms::{ColdTerms, ColdTermsFault};
@@ -14,3 +15,4 @@
 pub use route_rule::{PriorityRank, RouteRule, ServiceSplit};
 pub use route_table::{AccountGrant, ConfigVersion, RouteTable, ServiceRule, TableBuilder};
 pub use table_fault::{RouteProblem, TableFault};
+pub use unusable_item::{ItemKind, UnusableItem};
--- a/src/route/route_table.rs
+++ b/src/route/route_table.rs
@@ -10,7 +10,7 @@
 use crate::ids::{AccountId, RouteKey, ServiceId};
 use crate::route::{
     CallKind, ColdTerms, ColdTermsFault, EdgeLimits, PriorityRank, RouteProblem, RouteRule,
-    TableFault,
+    TableFault, UnusableItem,
 };
 
 /// Version number of a configuration; a larger one is newer.
@@ -61,6 +61,7 @@
     routes: usize,
     faults: Vec<TableFault>,
     cold_faults: Vec<(ServiceId, ColdTermsFault)>,
+    unusable: Vec<UnusableItem>,
 }
 
 impl RouteTable {
@@ -133,6 +134,11 @@
         &self.cold_faults
     }
 
+    /// Returns the items that are left out, in the order of the document.
+    pub fn unusable_items(&self) -> &[UnusableItem] {
+        &self.unusable
+    }
+
     fn find_faults(&mut self) {
         let Self {
             hosts,
@@ -188,6 +194,7 @@
                 routes: 0,
                 faults: Vec::new(),
                 cold_faults: Vec::new(),
+                unusable: Vec::new(),
             },
         }
     }
@@ -221,6 +228,13 @@
         self
     }
 
+    /// Records that an item is left out.
+    #[must_use]
+    pub fn unusable(mut self, item: UnusableItem) -> Self {
+        self.table.unusable.push(item);
+        self
+    }
+
     /// Requires API keys from callers, even if no grant is added.
     #[must_use]
     pub fn require_keys(mut self) -> Self {
--- a/tests/metrics_page.rs
+++ b/tests/metrics_page.rs
@@ -21,6 +21,10 @@
     metrics.relayed_accounts.with_label_values(&["a"]).inc();
     metrics.unreadable_frames.with_label_values(&["a"]).inc();
     metrics.routers_without.with_label_values(&["a"]).set(1);
+    metrics
+        .config_items_unusable
+        .with_label_values(&["a"])
+        .set(1);
     metrics.evacuations.with_label_values(&["a"]).set(1);
     metrics.memory_reserved.with_label_values(&["a"]).set(1);
     metrics.room_refusals.with_label_values(&["a"]).inc();
