Send trials to upstreams that have named a limit of next to nothing

Cause: a limit ends with a response without it. A limit of 0 gave no router a share, one near 0 gave the first router one request in 1 / limit seconds, and where the router with the share had no calls or did not reach the upstream, no other asked. Nothing was sent that could have ended the limit. A wait of Duration::MAX, from a limit of 2e-21, overflowed and ended the process.

Change (policy/rate_limits.rs): limits below one request in 5 s are replaced by trials of the first router, 5 s after the last response or trial. A router with rank r and no share sends one 5 + 4 r seconds after the last response that it heard of. A router that knows few of the others spreads its trials by the estimated size of the fleet. Waits are bounded by MAX_TIME_SPAN.

--- a/src/policy/rate_limits.rs
+++ b/src/policy/rate_limits.rs
@@ -3,6 +3,10 @@
 //! Each router sends its share of a limit. If the shares of all routers would be too small to send a
 //! request in good time, only some routers have one; all agree which, since they are the first in a
 //! rendezvous order of the upstream.
+//!
+//! Only a response tells that a limit has changed, so each upstream gets a request now and then,
+//! whatever it said last and whichever routers have a share: see [`TRIAL_PERIOD`] and
+//! [`RELIEF_PERIOD`].
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -22,6 +26,14 @@
 /// Requests per second of a limit for each router that has a share of it, beyond the first router.
 const MIN_SHARE_PER_S: f64 = 1.0;
 
+/// Time after a response, or after a request without one, in which nothing is sent to an upstream whose
+/// limit allows fewer requests. Then the first router sends a trial.
+const TRIAL_PERIOD: Duration = Duration::from_secs(5);
+
+/// Time between the trials of two routers without a share, which replace the routers before them in the
+/// order if nothing is heard of the upstream: these may have no calls for it or not reach it.
+const RELIEF_PERIOD: Duration = Duration::from_secs(4);
+
 /// Number of reports in one heartbeat.
 const MAX_RATE_REPORTS: usize = 3;
 
@@ -52,6 +64,8 @@
     reports: BTreeMap<UpstreamTag, RateReport>,
     /// This router's requests to upstreams with a limit.
     buckets: BTreeMap<UpstreamTag, TokenBucket>,
+    /// This router's last requests to upstreams of whose limits it had no share.
+    trials: BTreeMap<UpstreamTag, MonoTime>,
 }
 
 impl RateLimits {
@@ -82,7 +96,7 @@
     }
 
     /// Returns how long this router has to wait until it may send a request to an upstream, or `None`
-    /// if it has no share of the upstream's limit.
+    /// if it has no share of the upstream's limit and another router is to send the next trial.
     pub fn wait(
         &self,
         upstream: UpstreamTag,
@@ -92,16 +106,51 @@
         let Some(limit) = self.limit(upstream) else {
             return Some(Duration::ZERO);
         };
-        let rate = share(limit, upstream, place)?;
-        let bucket = self.buckets.get(&upstream).copied().unwrap_or_default();
-        Some(bucket.wait(rate, now))
+        let rank = share_rank(upstream, place);
+        if let Some(rate) = share(limit, rank, place.size) {
+            let bucket = self.buckets.get(&upstream).copied().unwrap_or_default();
+            return Some(bucket.wait(rate, now));
+        }
+        let own_wait = self.trial_at(upstream, rank, place).since(now);
+        if rank == 0 || own_wait.is_zero() {
+            return Some(own_wait);
+        }
+        let first_wait = (self.heard(upstream) + TRIAL_PERIOD).since(now);
+        (is_low(limit) && !first_wait.is_zero()).then_some(first_wait)
+    }
+
+    /// When the upstream was heard of last.
+    fn heard(&self, upstream: UpstreamTag) -> MonoTime {
+        let report = self.reports.get(&upstream);
+        report.map(|report| report.at).unwrap_or_default()
+    }
+
+    /// When this router, which has no share of an upstream's limit, may send it a trial.
+    fn trial_at(&self, upstream: UpstreamTag, rank: usize, place: FleetPlace<'_>) -> MonoTime {
+        let heard = self.heard(upstream);
+        let tried = self.trials.get(&upstream).copied();
+        // A router that knows few of the others may be one of several that take themselves for the first.
+        let known = place.routers.len().max(1);
+        let size = place.size.max(known);
+        if rank == 0 {
+            let period = TRIAL_PERIOD.mul_f64(size as f64 / known as f64);
+            return heard.max(tried.unwrap_or_default()) + period;
+        }
+        let turn = heard + TRIAL_PERIOD + RELIEF_PERIOD * rank as u32;
+        let round = RELIEF_PERIOD * size as u32;
+        tried.map_or(turn, |tried| turn.max(tried + round))
     }
 
     /// Counts a request that this router sends to an upstream.
     pub fn count(&mut self, upstream: UpstreamTag, place: FleetPlace<'_>, now: MonoTime) {
-        let limit = self.limit(upstream);
-        if let Some(rate) = limit.and_then(|limit| share(limit, upstream, place)) {
+        let Some(limit) = self.limit(upstream) else {
+            return;
+        };
+        let rank = share_rank(upstream, place);
+        if let Some(rate) = share(limit, rank, place.size) {
             self.buckets.entry(upstream).or_default().take(rate, now);
+        } else {
+            self.trials.insert(upstream, now);
         }
     }
 
@@ -132,19 +181,30 @@
         let reports = &self.reports;
         self.buckets
             .retain(|upstream, _| reports.contains_key(upstream));
+        self.trials
+            .retain(|upstream, _| reports.contains_key(upstream));
     }
 }
 
-/// Returns this router's share of a limit, in requests per second, or `None` if it has none.
-fn share(limit: RequestRate, upstream: UpstreamTag, place: FleetPlace<'_>) -> Option<f64> {
+/// Whether a limit allows fewer requests than trials, which replace them.
+fn is_low(limit: RequestRate) -> bool {
+    limit.get() * TRIAL_PERIOD.as_secs_f64() < 1.0
+}
+
+/// Returns the share of a limit that the router with this rank among `routers` has, in requests per second,
+/// or `None` if it has none: the limit is low, or enough others come before it.
+fn share(limit: RequestRate, rank: usize, routers: usize) -> Option<f64> {
+    if is_low(limit) {
+        return None;
+    }
     let limit = limit.get();
     let others = (limit / MIN_SHARE_PER_S) as usize;
-    let sharing = place.size.max(1).min(others.saturating_add(1));
-    (limit > 0.0 && share_rank(upstream, place) < sharing).then(|| limit / sharing as f64)
+    let sharing = routers.max(1).min(others.saturating_add(1));
+    (rank < sharing).then(|| limit / sharing as f64)
 }
 
 /// Returns the number of routers that come before this one in the rendezvous order of an upstream.
-pub(crate) fn share_rank(upstream: UpstreamTag, place: FleetPlace<'_>) -> usize {
+pub fn share_rank(upstream: UpstreamTag, place: FleetPlace<'_>) -> usize {
     let score = |address: Ipv4Addr| {
         let seed = u64::from(upstream.0);
         (xxh3_64_with_seed(&address.octets(), seed), address)
--- a/src/policy/token_bucket.rs
+++ b/src/policy/token_bucket.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::mono::MonoTime;
+use crate::units::MAX_TIME_SPAN;
 
 /// Time whose tokens a bucket holds in addition to one.
 const BURST_TIME: Duration = Duration::from_millis(500);
@@ -25,7 +26,8 @@
     /// Returns the time until a request may be sent, at `rate` requests per second.
     pub fn wait(&self, rate: f64, now: MonoTime) -> Duration {
         let missing = 1.0 - self.tokens(rate, now);
-        Duration::try_from_secs_f64(missing.max(0.0) / rate).unwrap_or(Duration::MAX)
+        let wait = Duration::try_from_secs_f64(missing.max(0.0) / rate);
+        wait.unwrap_or(MAX_TIME_SPAN).min(MAX_TIME_SPAN)
     }
 
     /// Counts a request.
--- a/src/policy/upstream_waits.rs
+++ b/src/policy/upstream_waits.rs
@@ -8,7 +8,7 @@
 
 use crate::ids::UpstreamStart;
 use crate::mono::MonoTime;
-use crate::units::RetryDelay;
+use crate::units::{MAX_TIME_SPAN, RetryDelay};
 
 /// Wait of a caller where all upstreams of a service leave. It is not known when others come;
 /// upstreams are replaced within seconds.
@@ -105,6 +105,7 @@
 /// Returns a time after `wait`, so that callers do not return together. `draw` is uniform over 0 to
 /// 1.
 pub fn spread_wait(wait: Duration, draw: f64) -> Duration {
+    let wait = wait.min(MAX_TIME_SPAN);
     let spread = wait.mul_f64(SPREAD_SHARE).max(MIN_SPREAD);
     wait + spread.mul_f64(draw)
 }
