Let streams go on by their cached prompts without the id of the first call

The upstreams had been asked for their cached prompts, but the answer was looked up for named streams only, and it lacks streams that begin after the start.

Change: the last part of the prompt is looked up for all take-ups. While a router doesn't know all versions of a stream's life, it records the part beside the stream when it passes the first event on, and tells both to their holders.

--- a/src/forward/front_call/stream_origin.rs
+++ b/src/forward/front_call/stream_origin.rs
@@ -196,21 +196,23 @@
         if let SoleProof::Proved(version) = prove() {
             return Some((OriginSource::Sole, version));
         }
-        if !names_stream {
-            return None;
-        }
-        if let Some(found) = state.ask_stream_version(self.stream, prove).await {
+        if names_stream && let Some(found) = state.ask_stream_version(self.stream, prove).await {
             return Some(found);
         }
-        // The only part of a prompt may be shared by other requests.
-        let part = self.plan.head.prompt.get(1..)?.last()?;
-        let part = StreamTag::of_part(PartTag(part.hash));
+        let part = StreamTag::of_part(self.own_part()?);
         let (_, version) = state
             .ask_stream_version(part, || SoleProof::Missing)
             .await?;
         Some((OriginSource::Cache, version))
     }
 
+    /// The part of the prompt that belongs to this request. The only part of a prompt may be shared by
+    /// others.
+    fn own_part(&self) -> Option<PartTag> {
+        let part = self.plan.head.prompt.get(1..)?.last()?;
+        Some(PartTag(part.hash))
+    }
+
     /// Asks for a read of the store.
     fn request_check(&self) -> CheckNumber {
         let board = &self.state.board;
@@ -271,16 +273,28 @@
     /// Records the version whose first event goes to the caller, to which the stream is bound.
     pub(super) fn bind_version(&mut self, version: VersionTag) {
         self.version = Some(version);
-        if self.plan.route.kind == (CallKind::Stream { resumable: true }) {
-            let until = self.state.now() + stream_life(self.plan.route.time_limit);
-            let is_news = self
-                .state
-                .board
-                .stream_versions()
-                .record(self.stream, version, until);
-            if is_news {
-                self.state.board.streams_changed.notify_one();
-            }
+        if self.plan.route.kind != (CallKind::Stream { resumable: true }) {
+            return;
+        }
+        let until = self.state.now() + stream_life(self.plan.route.time_limit);
+        // Upstreams were asked for their parts at the start, before this stream.
+        let new_part = self.own_part().filter(|_| !self.covers_versions());
+        let mut streams = self.state.board.stream_versions();
+        let mut is_news = streams.record(self.stream, version, until);
+        if let Some(part) = new_part {
+            streams.record_part(part, version, until);
+            is_news = true;
         }
+        drop(streams);
+        if is_news {
+            self.state.board.streams_changed.notify_one();
+        }
+    }
+
+    /// Whether this router knows all versions that were in use for as long as a stream lasts.
+    fn covers_versions(&self) -> bool {
+        let versions = self.state.board.versions.load();
+        let since = versions.covered_since();
+        since.is_some_and(|since| since <= self.earliest_start())
     }
 }
