Name the field of an unusable item as before, and move WholeNumber to the units

settings_file check_reports_all_faults failed in the whole script on: `check` printed `Routes[0] "r-chat": TimeoutMs: ...` where `Routes[0].TimeoutMs: ...` is due. The place of an unusable item now goes down to its field, and the name follows as a field of its own. WholeNumber is no business of the adapter.

--- a/src/forward_control/control_state/config_items.rs
+++ b/src/forward_control/control_state/config_items.rs
@@ -17,7 +17,7 @@
         for item in items.iter().take(MAX_LOGGED_ENTRIES) {
             spdlog::warn!("config-item-unusable", kv: {
                 version: = table.version, kind: = item.kind.label(), item: = item.place,
-                reason: = item.reason
+                name: = item.name.as_deref().unwrap_or_default(), reason: = item.reason
             });
         }
     }
--- a/src/route/unusable_item.rs
+++ b/src/route/unusable_item.rs
@@ -29,13 +29,19 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UnusableItem {
     pub kind: ItemKind,
-    /// Place in the document, with the item's name if it can be read.
+    /// Place in the document, down to the field if one is at fault.
     pub place: String,
+    /// Name of the item; `None` if it can't be read.
+    pub name: Option<String>,
     pub reason: String,
 }
 
 impl fmt::Display for UnusableItem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.place, self.reason)
+        write!(f, "{}: {}", self.place, self.reason)?;
+        match &self.name {
+            Some(name) => write!(f, ", in {name:?}"),
+            None => Ok(()),
+        }
     }
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::error::ValueError;
 
@@ -279,3 +279,34 @@
 }
 
 serde_as_text!(WorkPace);
+
+/// A number of a document that may be written with a fraction or an exponent, such as `2.0` or `1e3`. It is
+/// cut to a whole one, and a negative one to 0.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WholeNumber(u64);
+
+impl WholeNumber {
+    pub fn get(self) -> u64 {
+        self.0
+    }
+
+    /// The number, or the largest one of the type if it is larger.
+    pub fn to_u8(self) -> u8 {
+        self.0.min(u8::MAX.into()) as u8
+    }
+
+    /// The number, or the largest one of the type if it is larger.
+    pub fn to_u32(self) -> u32 {
+        self.0.min(u32::MAX.into()) as u32
+    }
+}
+
+impl<'de> Deserialize<'de> for WholeNumber {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let number = serde_json::Number::deserialize(deserializer)?;
+        let whole = number.as_u64();
+        // The conversion keeps to the bounds of the type.
+        let cut = || number.as_f64().unwrap_or_default() as u64;
+        Ok(Self(whole.unwrap_or_else(cut)))
+    }
+}
