Ask upstreams for their cached parts at a bounded rate

Change: a router asks 8 upstreams at first and 4 at each tick, chosen at random among those that it has to ask by what it knows then, and ends once none is left. As it hears of the others its part shrinks to its share.

--- a/src/forward_control/control_state/past_versions.rs
+++ b/src/forward_control/control_state/past_versions.rs
@@ -1,10 +1,12 @@
 //! Finds out after a start, if no peer can tell, which software versions were in use before and which
 //! of them began the streams that may be taken up.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::seq::IteratorRandom;
 
 use super::ControlState;
 use crate::fleet::store_stamp::StoreStamp;
@@ -13,7 +15,7 @@
 use crate::fleet::version_history::history_time;
 use crate::forward_board::ForwardStage;
 use crate::forward_control::store_task::{PastChanges, StoreCommand};
-use crate::ids::{ServiceKey, StreamTag};
+use crate::ids::{ServiceKey, StreamTag, UpstreamKey};
 use crate::mono::MonoTime;
 use crate::policy::stream_versions::{RecordHolder, choose_holders, stream_life};
 
@@ -29,14 +31,24 @@
 /// Number of routers that ask each upstream for its cached parts.
 const ASKING_ROUTERS: usize = 2;
 
+/// Number of upstreams that a router asks at first, and at each tick after that. Routers that start
+/// together know little of each other at first, and each of them would ask all upstreams.
+const FIRST_QUESTIONS: usize = 8;
+const TICK_QUESTIONS: usize = 4;
+
+/// Time after which a router that has no upstream left to ask ends its search.
+const QUESTIONS_TIME: Duration = Duration::from_secs(5);
+
 /// Progress of the search.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct PastSearch {
     reads: u32,
     next_read: MonoTime,
     is_done: bool,
-    /// When upstreams are to be asked for their cached parts.
+    /// From when on upstreams are asked for their cached parts; `None` before and after that.
     parts_due: Option<MonoTime>,
+    /// The upstreams that were asked.
+    asked: BTreeSet<UpstreamKey>,
     /// Whether a peer has held the records of streams for as long as these may last.
     has_old_peer: bool,
 }
@@ -121,16 +133,32 @@
         self.past_search.has_old_peer |= uptime.is_some_and(|uptime| uptime >= life);
     }
 
-    /// Decides whether to ask upstreams for their cached parts, once peers could tell that they have
-    /// the records of streams. Records of a peer are not enough while it may have missed changes.
+    /// Decides which upstreams to ask for their cached parts, once peers could tell that they have the
+    /// records of streams. Records of a peer are not enough while it may have missed changes.
     pub(super) fn search_parts(&mut self, now: MonoTime) {
-        let due = self.past_search.parts_due.take_if(|due| *due <= now);
-        if due.is_none() {
+        let Some(due) = self.past_search.parts_due.filter(|due| *due <= now) else {
+            return;
+        };
+        let is_told = self.past_search.has_old_peer && self.covers_streams(now);
+        let mut upstreams = if is_told {
+            Vec::new()
+        } else {
+            self.ambiguous_upstreams(now)
+        };
+        let asked = &mut self.past_search.asked;
+        upstreams.retain(|entry| !asked.contains(&entry.id.key()));
+        if is_told || (upstreams.is_empty() && now.since(due) >= QUESTIONS_TIME) {
+            self.past_search.parts_due = None;
             return;
         }
-        if !self.past_search.has_old_peer || !self.covers_streams(now) {
-            self.part_questions = self.ambiguous_upstreams(now);
-        }
+        let count = if asked.is_empty() {
+            FIRST_QUESTIONS
+        } else {
+            TICK_QUESTIONS
+        };
+        let chosen = upstreams.into_iter().sample(&mut rand::rng(), count);
+        asked.extend(chosen.iter().map(|entry| entry.id.key()));
+        self.part_questions.extend(chosen);
     }
 
     /// The upstreams that this router asks for their cached parts: those of services in which a stream
