Show orders that run from the body of another request

Cause: a request whose only framing is `Transfer-Encoding: identity` is read as one without a body, and its body as the next request.

--- a/review/standin-3/src/engine.rs
+++ b/review/standin-3/src/engine.rs
@@ -17,6 +17,8 @@
 
 /// Requests below this path get few events.
 pub const SHORT_PREFIX: &str = "/plan/short";
+/// Requests below this path get no stream.
+const ORDER_PREFIX: &str = "/order/";
 const SHORT_EVENTS: u64 = 3;
 
 /// How an engine answers.
@@ -44,6 +46,8 @@
     running: AtomicU64,
     /// Parts of prompts that were read here, with their tokens.
     parts: Mutex<BTreeSet<(String, String)>>,
+    /// Ids of the requests that ran here.
+    requests: Mutex<Vec<String>>,
     /// Open connections, which the end of the process closes.
     sockets: Mutex<Vec<TcpStream>>,
 }
@@ -78,6 +82,7 @@
             ended: AtomicBool::new(false),
             running: AtomicU64::new(0),
             parts: Mutex::default(),
+            requests: Mutex::default(),
             sockets: Mutex::default(),
         }));
         engine.check_in();
@@ -107,6 +112,11 @@
         engine
     }
 
+    /// The ids of the requests that ran here.
+    pub fn requests(&self) -> Vec<String> {
+        self.0.requests.lock().expect("requests").clone()
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.0.address
     }
@@ -220,7 +230,20 @@
         process
             .record
             .note(&format!("runs {about} after event {after:?}"));
+        process
+            .requests
+            .lock()
+            .expect("requests")
+            .push(id.to_owned());
         let stamp = format!("X-Server-Stamp: {}.{id}\r\n", process.id);
+        if path.starts_with(ORDER_PREFIX) {
+            thread::sleep(process.work.pause);
+            let body = format!("{{\"paid\":\"{id}\"}}");
+            let length = body.len();
+            let text =
+                format!("HTTP/1.1 200 OK\r\n{common}{stamp}Content-Length: {length}\r\n\r\n{body}");
+            return writer.write_all(text.as_bytes());
+        }
         let text = format!(
             "HTTP/1.1 200 OK\r\n{common}{stamp}Content-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -5,6 +5,7 @@
 mod dark_router;
 mod engine;
 mod frozen_router;
+mod hidden_order;
 mod http;
 mod killed_routers;
 mod link;
@@ -36,6 +37,7 @@
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "dark-router" => dark_router::play(&folder, is_disrupted),
         "frozen-router" => frozen_router::play(&folder, is_disrupted),
+        "hidden-order" => hidden_order::play(&folder, is_disrupted),
         "killed-routers" => killed_routers::play(&folder, is_disrupted),
         _ => None,
     });
