Show streams of a single version that are refused after a kill

Cause: after a kill of all routers none covers the time before it once the store has discarded its first changes, so that no single version is proved, and a stream without a prompt has no other record.

--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -11,6 +11,7 @@
 mod link;
 mod record;
 mod router;
+mod single_version;
 mod store;
 
 use std::path::PathBuf;
@@ -38,6 +39,7 @@
         "dark-router" => dark_router::play(&folder, is_disrupted),
         "frozen-router" => frozen_router::play(&folder, is_disrupted),
         "hidden-order" => hidden_order::play(&folder, is_disrupted),
+        "single-version" => single_version::play(&folder, is_disrupted),
         "killed-routers" => killed_routers::play(&folder, is_disrupted),
         _ => None,
     });
