--- a/review/standin-3/src/router.rs
+++ b/review/standin-3/src/router.rs
@@ -33,12 +33,17 @@
 /// The router processes of this case that run.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Sends a signal by name with the shell's own command.
+fn send_signal(name: &str, process: u32) -> bool {
+    let command = format!("kill -s {name} {process}");
+    let status = Command::new("sh").args(["-c", &command]).status();
+    status.is_ok_and(|status| status.success())
+}
+
 /// Kills all router processes of this case.
 pub fn kill_all() {
     for process in RUNNING.lock().expect("processes").drain(..) {
-        let _ = Command::new("kill")
-            .args(["-s", "KILL", &process.to_string()])
-            .status();
+        send_signal("KILL", process);
     }
 }
 
@@ -85,12 +90,7 @@
 
     /// Sends a signal by name, such as `STOP`.
     pub fn signal(&self, name: &str) {
-        let process = self.child.id().to_string();
-        let status = Command::new("kill").args(["-s", name, &process]).status();
-        assert!(
-            status.is_ok_and(|status| status.success()),
-            "kill -s {name}"
-        );
+        assert!(send_signal(name, self.child.id()), "kill -s {name}");
     }
 
     pub fn runs(&mut self) -> bool {
